--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	"emberlock/internal/wire"
-	"emberlock/rules"
+	"kitefall/internal/wire"
+	"kitefall/rules"
 )
 
 func main() {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"time"
 
-	"emberlock/rules"
+	"kitefall/rules"
 )
 
 // Batch is one line of input: the events of many dispatchers at one moment.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"emberlock/rules"
+	"kitefall/rules"
 )
 
 func decode(t *testing.T, d *Decoder, events string) []Event {
--- a/rules/example_test.go
+++ b/rules/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"emberlock/rules"
+	"kitefall/rules"
 )
 
 // A dispatcher asks for a copy before it sends a call to a worker that is not known to hold one.
