--- /dev/null
+++ b/internal/board/board.go
@@ -0,0 +1,157 @@
+// Package board follows the notice board: the numbered events that tell of the workers.
+package board
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"net/http"
+	"time"
+
+	"kitefall/rules"
+)
+
+const (
+	linger     = 4 * time.Second        // how long the board may hold a poll; 5 s at most
+	answerBy   = linger + 2*time.Second // a poll unanswered by then is lost, and another is made
+	again      = 100 * time.Millisecond // pause after a failed poll
+	mostAnswer = 4 << 20                // bytes of an answer
+)
+
+// Notices is an answer of the board.
+type Notices struct {
+	Rev     int64    `json:"rev"`
+	Notices []Notice `json:"notices"`
+}
+
+// Notice is one event: all workers, or those that have changed.
+type Notice struct {
+	Rev  int64 `json:"rev"`
+	Pool struct {
+		All     bool     `json:"all"`
+		Targets []Target `json:"targets"`
+	} `json:"pool"`
+}
+
+// Target is one worker.
+type Target struct {
+	UID      string   `json:"uid"`
+	Endpoint string   `json:"endpoint"`
+	Zone     string   `json:"az"`
+	Model    string   `json:"model"`
+	Group    int      `json:"pod_group"`
+	State    string   `json:"state"`
+	Hint     *float64 `json:"capacity_hint"`
+	BootMS   int64    `json:"boot_ms"`
+}
+
+// Entry is a worker as the module knows it, and where it listens.
+type Entry struct {
+	rules.Worker
+	Addr string
+}
+
+// List is news of the workers.
+type List struct {
+	Scope   rules.ListScope
+	Entries []Entry
+	Told    time.Time // when it came
+}
+
+func (t Target) entry() Entry {
+	w := rules.Worker{ID: rules.WorkerID(t.UID), Kind: t.Model, Zone: t.Zone, Cell: t.Group, Weight: 1,
+		Started: time.Duration(t.BootMS) * time.Millisecond, State: rules.Draining}
+	switch t.State {
+	case "active":
+		w.State = rules.Ready
+	case "left":
+		w.State = rules.Removed
+	}
+	if t.Hint != nil {
+		w.Weight = *t.Hint
+	}
+	return Entry{Worker: w, Addr: t.Endpoint}
+}
+
+// Watcher holds the number of the last event and passes later ones on, each once and in order.
+type Watcher struct {
+	addr string
+	rev  int64
+	seen bool // a whole list has come
+	pass func(List)
+}
+
+// NewWatcher returns a watcher of the board at addr. News go to pass, from the goroutine that calls Known or Run.
+func NewWatcher(addr string, pass func(List)) *Watcher { return &Watcher{addr: addr, pass: pass} }
+
+// Known takes in the events of the start: they may be old.
+func (w *Watcher) Known(n Notices) { w.take(n, rules.ListStale) }
+
+func (w *Watcher) take(n Notices, whole rules.ListScope) {
+	for _, e := range n.Notices {
+		// A late answer may repeat events: an old one taken again would undo a newer one. A change says
+		// nothing before there is a list that it could change.
+		if e.Rev <= w.rev || !w.seen && !e.Pool.All {
+			continue
+		}
+		w.rev = e.Rev
+		l := List{Scope: rules.ListChange, Told: time.Now()}
+		if e.Pool.All {
+			l.Scope, w.seen = whole, true
+		}
+		for _, t := range e.Pool.Targets {
+			l.Entries = append(l.Entries, t.entry())
+		}
+		w.pass(l)
+	}
+	if w.seen {
+		w.rev = max(w.rev, n.Rev)
+	}
+}
+
+// Run polls the board until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	failing := false
+	for ctx.Err() == nil {
+		err := w.poll(ctx)
+		if (err != nil) != failing && ctx.Err() == nil {
+			if failing = err != nil; failing {
+				log.Printf("board: poll failed, the list stays as it is: %v", err)
+			} else {
+				log.Printf("board: polls are answered again, rev %d", w.rev)
+			}
+		}
+		if err != nil {
+			select {
+			case <-time.After(again):
+			case <-ctx.Done():
+			}
+		}
+	}
+}
+
+func (w *Watcher) poll(ctx context.Context) error {
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(answerBy))
+	defer cancel()
+	url := fmt.Sprintf("http://%s/board/poll?watch=%d&linger=%d", w.addr, w.rev, linger.Milliseconds())
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	a, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return err
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %s", a.Status)
+	}
+	var n Notices
+	if err := json.NewDecoder(io.LimitReader(a.Body, mostAnswer)).Decode(&n); err != nil {
+		return err
+	}
+	w.take(n, rules.ListFull)
+	return nil
+}
--- /dev/null
+++ b/internal/call/call.go
@@ -0,0 +1,45 @@
+// Package call holds what passes between the fronts and the core: a call, and its one final answer. It knows
+// no wire.
+package call
+
+import "time"
+
+// Call is one request for a run of a function.
+type Call struct {
+	ID       uint64 // goes to the worker unchanged
+	Class    string
+	Tenant   string
+	Function string
+	Work     time.Duration // rough hint at the work; 0: not told
+	Memory   float64       // of one loaded copy, in MB
+	Lanes    int           // calls that one copy runs at a time
+	LoadTime time.Duration // usual time of a load
+	Body     []byte
+	Deadline time.Time // no answer is of use after it
+
+	// MayRun, where set, runs once before the first attempt is written, on a goroutine of its own. An error
+	// from it means that the call is refused and never reaches a worker.
+	MayRun func() error
+	// Done takes the final answer. It is called exactly once for a call that the core has accepted, unless
+	// the call is given up first. It must not block.
+	Done func(Answer)
+}
+
+// Outcome is how a call ended.
+type Outcome int
+
+// The outcomes.
+const (
+	Served  Outcome = iota
+	Refused         // trying again is harmless
+	Failed          // nothing is promised
+)
+
+// Answer is the final answer to a call.
+type Answer struct {
+	Outcome    Outcome
+	Body       []byte        // of a served call
+	MayHaveRun bool          // an attempt may have run, or run still
+	Late       bool          // the deadline had come
+	RetryAfter time.Duration // advice with Refused: come back after this; 0: none
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,91 @@
+// Package config reads what the platform tells a dispatcher, and shares out its limits.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+
+	"kitefall/internal/board"
+	"kitefall/internal/wire"
+	"kitefall/rules"
+)
+
+// The shares of the limits.
+const (
+	clientShare  = 0.34 // of the descriptors: clients hold a third at most
+	workerShare  = 0.5  // ... the rest is for the board, the listener and what the runtime holds
+	memoryShare  = 0.75 // of the memory: what the collector keeps to; the rest is the kernel's and the program's own
+	bodiesShare  = 0.2  // of the memory: bodies of open calls
+	workersUsual = 32   // workers that the descriptors are shared out for
+	mostOpen     = 20000
+)
+
+// Config is the configuration of a dispatcher.
+type Config struct {
+	Name   string `json:"name"`
+	Listen string `json:"listen"`
+	Limits struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Board   string          `json:"board"`
+	Known   board.Notices   `json:"known"`
+	SeedHex string          `json:"seed"`
+	Raw     json.RawMessage `json:"settings"`
+
+	Seed        uint64           `json:"-"`
+	Settings    rules.Settings   `json:"-"`
+	Connections wire.Connections `json:"-"`
+}
+
+// Read reads a configuration file.
+func Read(path string) (*Config, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	c := &Config{}
+	if err := json.Unmarshal(data, c); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if c.Seed, err = strconv.ParseUint(c.SeedHex, 16, 64); err != nil {
+		return nil, fmt.Errorf("%s: seed: %w", path, err)
+	}
+	if c.Settings, err = wire.Settings(c.Raw); err != nil {
+		return nil, fmt.Errorf("%s: settings: %w", path, err)
+	}
+	if c.Connections, err = wire.ReadConnections(c.Raw); err != nil {
+		return nil, fmt.Errorf("%s: settings: %w", path, err)
+	}
+	if c.Connections.Streams < 1 || c.Connections.IdleClose <= 0 || c.Limits.Sockets < 64 || c.Limits.MemoryMB < 32 {
+		return nil, fmt.Errorf("%s: limits %+v and connections %+v leave no room to work", path, c.Limits, c.Connections)
+	}
+	return c, nil
+}
+
+func (c *Config) memory(share float64) int64 { return int64(c.Limits.MemoryMB * share * (1 << 20)) }
+
+// MemoryLimit is what the garbage collector keeps to, in bytes.
+func (c *Config) MemoryLimit() int64 { return c.memory(memoryShare) }
+
+// MostHeld is the bytes that the bodies of open calls may hold.
+func (c *Config) MostHeld() int64 { return c.memory(bodiesShare) }
+
+// MostOpen is how many calls may be open.
+func (c *Config) MostOpen() int {
+	if c.Settings.MaxOpen > 0 {
+		return min(c.Settings.MaxOpen, mostOpen)
+	}
+	return mostOpen
+}
+
+// ClientConnections is how many connections of clients are held.
+func (c *Config) ClientConnections() int { return int(clientShare * float64(c.Limits.Sockets)) }
+
+// WorkerConnections is how many connections one worker may have.
+func (c *Config) WorkerConnections() int {
+	return max(1, int(workerShare*float64(c.Limits.Sockets))/workersUsual)
+}
--- /dev/null
+++ b/internal/dispatch/core.go
@@ -0,0 +1,438 @@
+// Package dispatch is the core: one goroutine that owns the decision module. Fronts, links and the notice
+// board reach it through its queue only; it never waits for a socket or a disk. Each call that it accepts
+// gets exactly one final answer.
+package dispatch
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"log"
+	"sync/atomic"
+	"time"
+
+	"kitefall/internal/board"
+	"kitefall/internal/call"
+	"kitefall/internal/worker"
+	"kitefall/rules"
+)
+
+const (
+	queueSize = 8192
+	// answerBefore is the part of the rules' slack after a deadline that is left to the module's own answer.
+	answerBefore = 0.5
+)
+
+// ErrBusy tells that a call was not taken in: trying again is harmless.
+var ErrBusy = errors.New("too much is open")
+
+// Config is what the core is told at start.
+type Config struct {
+	Settings rules.Settings
+	Seed     uint64
+	Links    worker.Config
+	MostOpen int   // calls
+	MostHeld int64 // bytes of the bodies of open calls
+}
+
+// Core runs the decision module.
+type Core struct {
+	config Config
+	queue  chan func()
+	stop   chan struct{}
+	open   atomic.Int64 // calls accepted and not answered
+	held   atomic.Int64 // bytes of their bodies
+	known  atomic.Bool
+
+	// The rest belongs to the owner, the goroutine of Run.
+	module  *rules.Balancer
+	now     time.Duration
+	last    rules.RequestID
+	calls   map[rules.RequestID]*open
+	links   map[rules.WorkerID]*worker.Link
+	addrs   map[rules.WorkerID]string
+	orders  map[orderKey]*order
+	timers  timers
+	backlog []rules.Event
+}
+
+// open is a call that is not answered, or has attempts out.
+type open struct {
+	*call.Call
+	id       rules.RequestID
+	attempts []*attempt
+	out      int
+	closed   bool // answered, or given up by its client
+	marked   bool // MayRun has passed, or there is none
+}
+
+type attempt struct {
+	*open
+	n      int
+	worker rules.WorkerID
+	at     time.Time
+	until  time.Time
+	over   bool
+	ran    bool // it may have run
+	link   *worker.Link
+	job    *worker.Job // nil until the link has it
+}
+
+type orderKey struct {
+	worker   rules.WorkerID
+	function rules.FunctionID
+}
+
+type order struct {
+	orderKey
+	at   time.Time
+	job  *worker.Job
+	link *worker.Link
+}
+
+// New returns a core for the settings.
+func New(c Config) (*Core, error) {
+	m, err := rules.New(c.Settings, c.Seed)
+	if err != nil {
+		return nil, err
+	}
+	return &Core{config: c, module: m, queue: make(chan func(), queueSize), stop: make(chan struct{}),
+		calls: map[rules.RequestID]*open{}, links: map[rules.WorkerID]*worker.Link{},
+		addrs: map[rules.WorkerID]string{}, orders: map[orderKey]*order{}}, nil
+}
+
+// Known tells whether the list of workers is known.
+func (c *Core) Known() bool { return c.known.Load() }
+
+// Open is the number of calls accepted and not yet answered.
+func (c *Core) Open() int64 { return c.open.Load() }
+
+// Handle names an accepted call, to give it up by.
+type Handle struct {
+	core *Core
+	id   rules.RequestID
+}
+
+// Submit hands a call in. With an error it was not taken, and its Done will not be called.
+func (c *Core) Submit(k *call.Call) (*Handle, error) {
+	// Refused here, at once: past these bounds memory would end the program, and every open call with it.
+	calls, bytes := c.open.Add(1), c.held.Add(int64(len(k.Body)))
+	if calls > int64(c.config.MostOpen) || bytes > c.config.MostHeld {
+		c.release(k)
+		return nil, ErrBusy
+	}
+	h := &Handle{core: c}
+	select {
+	case c.queue <- func() { c.accept(k, h) }:
+		return h, nil
+	default:
+		c.release(k)
+		return nil, ErrBusy
+	}
+}
+
+func (c *Core) release(k *call.Call) {
+	c.open.Add(-1)
+	c.held.Add(-int64(len(k.Body)))
+}
+
+// GiveUp tells that the client has left: no answer is owed, and Done is not called any more.
+func (h *Handle) GiveUp() {
+	h.core.post(func() {
+		if o := h.core.calls[h.id]; o != nil && !o.closed {
+			h.core.close(o)
+			h.core.feed(rules.GoneEvent{ID: o.id})
+		}
+	})
+}
+
+// News passes on what the notice board tells.
+func (c *Core) News(l board.List) { c.post(func() { c.onList(l) }) }
+
+// post hands an event to the owner. It waits for room, so the owner itself must not call it.
+func (c *Core) post(f func()) {
+	select {
+	case c.queue <- f:
+	case <-c.stop:
+	}
+}
+
+// Run owns the module until Stop.
+func (c *Core) Run() {
+	timer := time.NewTimer(time.Hour)
+	for {
+		if len(c.timers) > 0 {
+			timer.Reset(time.Until(c.timers[0].at))
+		}
+		select {
+		case f := <-c.queue:
+			f()
+		case <-timer.C:
+		case <-c.stop:
+			return
+		}
+		for len(c.timers) > 0 && !time.Now().Before(c.timers[0].at) {
+			heap.Pop(&c.timers).(timed).do()
+		}
+	}
+}
+
+// Stop ends Run. What is open stays unanswered.
+func (c *Core) Stop() { close(c.stop) }
+
+func (c *Core) at(t time.Time, do func()) { heap.Push(&c.timers, timed{t, do}) }
+
+// feed gives the module an event and carries out what it answers. Events that come of that follow in turn.
+func (c *Core) feed(e rules.Event) {
+	c.backlog = append(c.backlog, e)
+	if len(c.backlog) > 1 {
+		return // the call further up the stack goes on with it
+	}
+	for len(c.backlog) > 0 {
+		// The module is promised a time that never goes back; the system's clock may.
+		c.now = max(c.now, time.Duration(time.Now().UnixNano()))
+		for _, a := range c.module.Handle(c.now, c.backlog[0]) {
+			c.do(a)
+		}
+		c.backlog = c.backlog[1:]
+	}
+	c.backlog = nil
+}
+
+func (c *Core) do(a rules.Action) {
+	switch a := a.(type) {
+	case rules.Send:
+		c.send(a)
+	case rules.Cancel:
+		if o := c.calls[a.ID]; o != nil && a.Attempt >= 0 && a.Attempt < len(o.attempts) {
+			c.callOff(o.attempts[a.Attempt], rules.Cancelled)
+		}
+	case rules.Refuse:
+		c.answer(c.calls[a.ID], call.Answer{Outcome: call.Refused, RetryAfter: a.RetryAfter})
+	case rules.Fail:
+		c.answer(c.calls[a.ID], call.Answer{Outcome: call.Failed})
+	case rules.Load:
+		c.load(a)
+	case rules.Drop:
+		if l := c.links[a.Worker]; l != nil {
+			l.Drop(string(a.Function), time.Now().Add(c.config.Settings.OrderTimeout))
+		}
+	case rules.Wake:
+		c.at(time.Now().Add(a.After), func() { c.feed(rules.WakeEvent{Ref: a.Ref}) })
+	case rules.Log:
+		log.Printf("module: %s", a.Text)
+	default: // Probe, Watch and Fetch: neither the board nor the workers take these here
+		log.Printf("core: the module asked for what is not to be had here: %T", a)
+	}
+}
+
+func (c *Core) accept(k *call.Call, h *Handle) {
+	c.last++
+	o := &open{Call: k, id: c.last, marked: k.MayRun == nil}
+	h.id = o.id
+	c.calls[o.id] = o
+	s := &c.config.Settings
+	// Should the module ever stay silent, the core answers in its place, within the rules' slack.
+	c.at(k.Deadline.Add(time.Duration(answerBefore*float64(s.AnswerSlack))), func() {
+		if !o.closed {
+			log.Printf("core: call %016x had no answer of the module at its deadline", k.ID)
+			c.answer(o, call.Answer{Outcome: call.Failed})
+			c.feed(rules.GoneEvent{ID: o.id})
+		}
+	})
+	c.feed(rules.RequestEvent{ID: o.id, Function: rules.FunctionID(k.Function), Class: k.Class, Tenant: k.Tenant,
+		TimeLeft: time.Until(k.Deadline), Memory: k.Memory, Lanes: k.Lanes, LoadTime: k.LoadTime, Work: k.Work})
+}
+
+// answer gives a call its final answer, once.
+func (c *Core) answer(o *open, a call.Answer) {
+	if o == nil || o.closed {
+		return
+	}
+	for _, t := range o.attempts {
+		a.MayHaveRun = a.MayHaveRun || t.ran || !t.over && t.job != nil
+	}
+	a.Late = !time.Now().Before(o.Deadline)
+	c.close(o)
+	o.Done(a)
+}
+
+func (c *Core) close(o *open) {
+	o.closed = true
+	c.release(o.Call)
+	c.forget(o)
+}
+
+func (c *Core) forget(o *open) {
+	if o.closed && o.out == 0 {
+		delete(c.calls, o.id)
+	}
+}
+
+func (c *Core) send(a rules.Send) {
+	o := c.calls[a.ID]
+	if o == nil {
+		return
+	}
+	now := time.Now()
+	t := &attempt{open: o, n: len(o.attempts), worker: a.Worker, at: now, until: o.Deadline}
+	if a.Limit > 0 && now.Add(a.Limit).Before(t.until) {
+		t.until = now.Add(a.Limit)
+	}
+	o.attempts = append(o.attempts, t)
+	o.out++
+	if o.marked {
+		c.launch(t)
+		return
+	}
+	go func() { // on a goroutine of its own, since it waits for a disk
+		err := o.MayRun()
+		c.post(func() { c.cleared(t, err) })
+	}()
+}
+
+// cleared goes on with an attempt once it is on record that its call may run.
+func (c *Core) cleared(t *attempt, err error) {
+	if err != nil && !t.closed {
+		log.Printf("core: call %016x refused, it could not be put on record: %v", t.ID, err)
+		c.answer(t.open, call.Answer{Outcome: call.Refused})
+		c.feed(rules.GoneEvent{ID: t.id})
+	}
+	t.marked = err == nil
+	c.launch(t)
+}
+
+// launch hands an attempt to its link. The call may have ended while it was put on record.
+func (c *Core) launch(t *attempt) {
+	l := c.links[t.worker]
+	if t.over {
+		return
+	}
+	if l == nil || t.closed || !time.Now().Before(t.until) {
+		c.outcome(t, worker.Result{Status: rules.Moot})
+		return
+	}
+	job, err := l.Call(t.ID, t.Class, t.Function, t.Body, t.until, func(r worker.Result) {
+		c.post(func() { c.outcome(t, r) })
+	})
+	if err != nil {
+		c.outcome(t, worker.Result{Status: rules.ConnectFailed})
+		return
+	}
+	t.link, t.job = l, job
+	c.at(t.until, func() { c.callOff(t, rules.TimedOut) })
+}
+
+// callOff ends the wait for an attempt from this side.
+func (c *Core) callOff(t *attempt, s rules.Status) {
+	if t.over {
+		return
+	}
+	if t.job == nil || !t.link.GiveUp(t.job) {
+		s = rules.Moot // never written, so it never ran
+	}
+	c.outcome(t, worker.Result{Status: s})
+}
+
+var neverRan = map[rules.Status]bool{rules.Full: true, rules.ConnectFailed: true, rules.Moot: true, rules.Miss: true}
+
+// outcome takes in the end of an attempt, once; an answer that crosses the end of the wait is dropped.
+func (c *Core) outcome(t *attempt, r worker.Result) {
+	if t.over {
+		return
+	}
+	t.over, t.ran = true, !neverRan[r.Status]
+	t.out--
+	if r.Status == rules.OK {
+		c.answer(t.open, call.Answer{Outcome: call.Served, Body: r.Body})
+	}
+	closed := t.closed
+	c.forget(t.open)
+	c.feed(rules.OutcomeEvent{ID: t.id, Attempt: t.n, Worker: t.worker, Status: r.Status,
+		Took: time.Since(t.at), Closed: closed, Warmth: r.Warmth, Crowd: r.Crowd})
+}
+
+func (c *Core) load(a rules.Load) {
+	o := &order{orderKey: orderKey{a.Worker, a.Function}, at: time.Now(), link: c.links[a.Worker]}
+	until := o.at.Add(c.config.Settings.OrderTimeout)
+	c.orders[o.orderKey] = o
+	if o.link == nil {
+		c.loaded(o, worker.Result{Status: rules.ConnectFailed})
+		return
+	}
+	job, err := o.link.Load(string(a.Function), a.Copies, until, func(r worker.Result) {
+		c.post(func() { c.loaded(o, r) })
+	})
+	if err != nil {
+		c.loaded(o, worker.Result{Status: rules.ConnectFailed})
+		return
+	}
+	o.job = job
+	c.at(until, func() {
+		if c.orders[o.orderKey] == o {
+			o.link.GiveUp(o.job)
+			c.loaded(o, worker.Result{Status: rules.TimedOut})
+		}
+	})
+}
+
+func (c *Core) loaded(o *order, r worker.Result) {
+	if c.orders[o.orderKey] != o {
+		return // it has ended already
+	}
+	delete(c.orders, o.orderKey)
+	c.feed(rules.LoadedEvent{Worker: o.worker, Function: o.function, Status: r.Status, Took: time.Since(o.at),
+		Copies: r.Copies})
+}
+
+func (c *Core) onList(l board.List) {
+	named := map[rules.WorkerID]bool{}
+	e := rules.ListEvent{Scope: l.Scope}
+	for _, w := range l.Entries {
+		named[w.ID] = true
+		e.Workers = append(e.Workers, w.Worker)
+		if old := c.links[w.ID]; old == nil || c.addrs[w.ID] != w.Addr {
+			if old != nil { // it came back elsewhere; what is open there may still be answered
+				old.Drain(l.Told, true)
+			}
+			c.links[w.ID], c.addrs[w.ID] = worker.NewLink(string(w.ID), w.Addr, &c.config.Links), w.Addr
+		}
+		if w.State == rules.Ready {
+			c.links[w.ID].Drain(time.Time{}, false)
+		} else {
+			c.links[w.ID].Drain(l.Told, w.State == rules.Removed)
+		}
+	}
+	if l.Scope != rules.ListChange { // who is absent from a whole list is gone
+		for id, link := range c.links {
+			if !named[id] {
+				link.Drain(l.Told, true)
+			}
+		}
+	}
+	log.Printf("board: list scope %d, %d entries, %d workers named so far", l.Scope, len(l.Entries), len(c.links))
+	c.feed(e)
+	c.known.Store(true)
+}
+
+// Summary is a line on what is open, for the log.
+func (c *Core) Summary() string { return fmt.Sprintf("%d calls open", c.Open()) }
+
+type timed struct {
+	at time.Time
+	do func()
+}
+
+type timers []timed
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at.Before(t[j].at) }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timed)) }
+func (t *timers) Pop() any {
+	old := *t
+	x := old[len(old)-1]
+	old[len(old)-1] = timed{}
+	*t = old[:len(old)-1]
+	return x
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -178,7 +178,7 @@
 			d.lists[m.Slot] = workers(m.Members)
 			continue
 		case "up":
-			s, err := settings(m.Profile)
+			s, err := Settings(m.Profile)
 			if err != nil {
 				return Batch{}, fmt.Errorf("settings of dispatcher %d: %w", m.Dispatcher, err)
 			}
@@ -271,7 +271,9 @@
 	return list
 }
 
-func settings(data json.RawMessage) (rules.Settings, error) {
+// Settings reads the settings of an instance, as the simulator's first message and a dispatcher's
+// configuration hold them.
+func Settings(data json.RawMessage) (rules.Settings, error) {
 	var p profile
 	if err := json.Unmarshal(data, &p); err != nil {
 		return rules.Settings{}, err
@@ -325,6 +327,24 @@
 	return s, nil
 }
 
+// Connections are the settings that only a program on real sockets needs.
+type Connections struct {
+	IdleClose time.Duration // workers close idle connections after this
+	Streams   int           // calls on one connection
+}
+
+// ReadConnections reads them from the settings of an instance.
+func ReadConnections(data json.RawMessage) (Connections, error) {
+	var p struct {
+		Caps struct {
+			IdleClose int64 `json:"idle_close_us"`
+			Streams   int   `json:"max_streams"`
+		} `json:"caps"`
+	}
+	err := json.Unmarshal(data, &p)
+	return Connections{IdleClose: us(p.Caps.IdleClose), Streams: p.Caps.Streams}, err
+}
+
 // Encoder collects the actions that answer one batch.
 type Encoder struct{ steps []any }
 
