Keep a request's last attempt for a place where a copy stands or was ordered

Checked: the trace of each attempt; every one was a clean miss, so neither sockets nor time-outs are involved. At fault: pick() in rules.go, which tries places unasked where loads are rationed and spends the last attempt like the first.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -142,19 +142,6 @@
 	}
 }
 
-// warm is the part of its capacity that a worker has for certain.
-func (b *Balancer) warm(w *worker) float64 {
-	if !w.isCold {
-		return 1
-	}
-	age := b.now - w.cold
-	if age >= b.set.ColdRamp || b.set.ColdRamp == 0 {
-		w.isCold, w.coldSends = false, nil
-		return 1
-	}
-	return b.set.ColdFrom + (1-b.set.ColdFrom)*math.Max(0, float64(age))/float64(b.set.ColdRamp)
-}
-
 // load is the requests at a worker, by this dispatcher's knowledge, for its present capacity.
 func (b *Balancer) load(w *worker) float64 {
 	if b.thin() && w.heldAt > 0 {
@@ -289,6 +276,12 @@
 	return b.thin() && (f.hot || own*float64(b.set.Peers) >= sureUse)
 }
 
+// lastTry tells that a request's next attempt is its last: four misses in a few ms would end it at once, so
+// that one is kept for a place where a copy stands or has been ordered.
+func (b *Balancer) lastTry(r *request) bool {
+	return b.set.Orders && !b.set.LoadOnMiss && len(r.attempts) > 0 && len(r.attempts)+1 >= b.set.MaxAttempts
+}
+
 // ordersFirst tells whether a copy not believed to stand is ordered before a request goes there.
 func (b *Balancer) ordersFirst(p *placed) bool {
 	return b.set.Orders && !b.set.LoadOnMiss && (b.set.LoadWindow == 0 || p.missed)
@@ -516,7 +509,7 @@
 		}
 		p, skip := f.where(w), b.skip(f, w, r.class.Aim.Seconds())
 		shun := b.now < p.shun && b.thin()
-		if ready := b.stands(p) || !b.ordersFirst(p) ||
+		if ready := b.stands(p) || !b.ordersFirst(p) && !b.lastTry(r) ||
 			i < f.size+r.widened && used && !w.isCold && b.now >= p.absent; !ready {
 			if empty == nil && !skip && b.now >= p.avoid && (seen <= f.size+1 || !b.thin()) {
 				empty = w
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -95,6 +95,25 @@
 	}
 }
 
+// Where loads are rationed, requests try places unasked. Four misses within a few milliseconds ended them.
+func TestLastAttemptWaitsForACopy(t *testing.T) {
+	s := testSettings()
+	s.MaxAttempts, s.LoadWindow, s.LoadFree, s.LoadShare = 4, 10*time.Second, 6, 0.15
+	f := newFleet(t, s, 1)
+	f.list(6)
+	id := f.request("safe", "fn", 2*time.Second)
+	for n := range 3 {
+		f.outcome(id, n, Miss)
+	}
+	if o := f.open[id]; len(o.sends) != 3 || len(f.loads) == 0 {
+		t.Fatalf("%d sends and orders %v, want the last send to wait for an order", len(o.sends), f.loads)
+	}
+	f.answerOrders(OK)
+	if n := len(f.open[id].sends); n != 4 {
+		t.Errorf("%d sends once the copy stood, want 4", n)
+	}
+}
+
 func TestWaitsLeaveInTime(t *testing.T) {
 	f := newFleet(t, testSettings(), 1)
 	f.list(4)
--- a/rules/state.go
+++ b/rules/state.go
@@ -218,3 +218,16 @@
 	}
 	return p
 }
+
+// warm is the part of its capacity that a worker has for certain.
+func (b *Balancer) warm(w *worker) float64 {
+	if !w.isCold {
+		return 1
+	}
+	age := b.now - w.cold
+	if age >= b.set.ColdRamp || b.set.ColdRamp == 0 {
+		w.isCold, w.coldSends = false, nil
+		return 1
+	}
+	return b.set.ColdFrom + (1-b.set.ColdFrom)*math.Max(0, float64(age))/float64(b.set.ColdRamp)
+}
