Add the invoke front: tickets in bbolt, HTTPS with SPIFFE identities

The module advises when to come back with each refusal; the platform's front tells clients only where the settings allow it.

--- a/cmd/kitefall/main.go
+++ b/cmd/kitefall/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"flag"
 	"log"
 	"math"
 	"net"
@@ -17,8 +18,10 @@
 	"kitefall/internal/board"
 	"kitefall/internal/config"
 	"kitefall/internal/dispatch"
+	"kitefall/internal/front/invoke"
 	"kitefall/internal/front/resp"
 	"kitefall/internal/life"
+	"kitefall/internal/ticket"
 	"kitefall/internal/worker"
 )
 
@@ -27,16 +30,24 @@
 	linger = 700 * time.Millisecond
 	// look is how often it is looked whether all is answered after that.
 	look = 5 * time.Millisecond
+	// identityBy is how long the Workload API may take for the first identity.
+	identityBy = 30 * time.Second
+	// storeBy is how long another process may hold the ticket store.
+	storeBy = 5 * time.Second
+	// shutBy is how long requests of the invoke API may take to end.
+	shutBy = 5 * time.Second
 )
 
 func main() {
+	invokeFile := flag.String("invoke", "", "turn the invoke front on, as this operator's `file` says")
+	flag.Parse()
 	log.SetFlags(log.Ltime | log.Lmicroseconds)
-	if err := run(os.Getenv("RELAY_CONFIG")); err != nil {
+	if err := run(os.Getenv("RELAY_CONFIG"), *invokeFile); err != nil {
 		log.Fatalf("kitefall: %v", err)
 	}
 }
 
-func run(path string) error {
+func run(path, invokeFile string) error {
 	ended := make(chan os.Signal, 1)
 	signal.Notify(ended, syscall.SIGTERM, os.Interrupt)
 	conf, err := config.Read(path)
@@ -61,6 +72,13 @@
 		watcher.Known(conf.Known)
 		watcher.Run(ctx)
 	}()
+	failed := make(chan error, 2)
+	shut := func() error { return nil }
+	if invokeFile != "" {
+		if shut, err = startInvoke(invokeFile, conf, core, failed); err != nil {
+			return err
+		}
+	}
 	ln, err := net.Listen("tcp", conf.Listen)
 	if err != nil {
 		return err
@@ -71,8 +89,7 @@
 		}
 		return phases.Phase() == life.Serving
 	}
-	front := &resp.Server{Core: core, Ready: ready}
-	failed := make(chan error, 1)
+	front := &resp.Server{Core: core, Ready: ready, Advise: conf.Settings.RetryAfter}
 	go func() { failed <- front.Serve(ln, conf.ClientConnections()) }()
 	log.Printf("%s listens on %s", conf.Name, conf.Listen)
 	select {
@@ -87,6 +104,48 @@
 	for core.Open() > 0 || front.Clients() > 0 {
 		time.Sleep(look)
 	}
+	err = shut()
 	phases.Enter(life.Stopped)
-	return nil
+	return err
+}
+
+// startInvoke starts the invoke front. The function that it returns ends it, once nothing is open.
+func startInvoke(file string, conf *config.Config, core *dispatch.Core, failed chan<- error) (func() error, error) {
+	c, err := invoke.ReadConfig(file, conf.Settings)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(identityBy))
+	defer cancel()
+	identity, err := invoke.Identify(ctx, c.WorkloadAPI)
+	if err != nil {
+		return nil, err
+	}
+	store, err := ticket.OpenStore(c.Store, c.MostTickets, c.Retention, time.Now().Add(storeBy))
+	if err != nil {
+		return nil, err
+	}
+	desk := ticket.NewDesk(store, core, c.Prepare)
+	if err := desk.Resume(); err != nil {
+		return nil, err
+	}
+	ln, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return nil, err
+	}
+	server := invoke.New(c, desk, identity)
+	go func() {
+		if err := server.Serve(ln); err != nil {
+			failed <- err
+		}
+	}()
+	log.Printf("%s serves the invoke API on %s", conf.Name, ln.Addr())
+	return func() error {
+		ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(shutBy))
+		defer cancel()
+		server.Shutdown(ctx)
+		core.Stop()
+		identity.Close()
+		return desk.Close()
+	}, nil
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -6,7 +6,6 @@
 import (
 	"container/heap"
 	"errors"
-	"fmt"
 	"log"
 	"sync/atomic"
 	"time"
@@ -40,6 +39,7 @@
 	config Config
 	queue  chan func()
 	stop   chan struct{}
+	ended  chan struct{}
 	open   atomic.Int64 // calls accepted and not answered
 	held   atomic.Int64 // bytes of their bodies
 	known  atomic.Bool
@@ -92,11 +92,14 @@
 
 // New returns a core for the settings.
 func New(c Config) (*Core, error) {
+	// Fronts decide whether a client is told when to come back; the module always advises.
+	c.Settings.RetryAfter = true
 	m, err := rules.New(c.Settings, c.Seed)
 	if err != nil {
 		return nil, err
 	}
 	return &Core{config: c, module: m, queue: make(chan func(), queueSize), stop: make(chan struct{}),
+		ended: make(chan struct{}),
 		calls: map[rules.RequestID]*open{}, links: map[rules.WorkerID]*worker.Link{},
 		addrs: map[rules.WorkerID]string{}, orders: map[orderKey]*order{}}, nil
 }
@@ -159,6 +162,7 @@
 
 // Run owns the module until Stop.
 func (c *Core) Run() {
+	defer close(c.ended)
 	timer := time.NewTimer(time.Hour)
 	for {
 		if len(c.timers) > 0 {
@@ -177,8 +181,11 @@
 	}
 }
 
-// Stop ends Run. What is open stays unanswered.
-func (c *Core) Stop() { close(c.stop) }
+// Stop ends Run and waits for that. What is open stays unanswered.
+func (c *Core) Stop() {
+	close(c.stop)
+	<-c.ended
+}
 
 func (c *Core) at(t time.Time, do func()) { heap.Push(&c.timers, timed{t, do}) }
 
@@ -415,9 +422,6 @@
 	c.known.Store(true)
 }
 
-// Summary is a line on what is open, for the log.
-func (c *Core) Summary() string { return fmt.Sprintf("%d calls open", c.Open()) }
-
 type timed struct {
 	at time.Time
 	do func()
--- a/internal/front/resp/resp.go
+++ b/internal/front/resp/resp.go
@@ -38,6 +38,8 @@
 type Server struct {
 	Core  *dispatch.Core
 	Ready func() bool // what CHECK answers
+	// Advise adds to refusals when to come back. Without it clients are not told: the settings forbid it.
+	Advise bool
 
 	server *redcon.Server
 	mu     sync.Mutex
@@ -169,7 +171,7 @@
 		defer c.mu.Unlock()
 		if c.tags[tag] == p { // else it was cancelled, and nothing is owed
 			delete(c.tags, tag)
-			c.put(wording(tag, a, k.Deadline))
+			c.put(c.server.wording(tag, a, k.Deadline))
 		}
 	}
 	h, err := c.server.Core.Submit(k)
@@ -183,14 +185,14 @@
 	return nil
 }
 
-func wording(tag uint64, a call.Answer, by time.Time) answer {
+func (s *Server) wording(tag uint64, a call.Answer, by time.Time) answer {
 	out := answer{tag: tag, by: by.Add(time.Second)}
 	switch a.Outcome {
 	case call.Served:
 		out.word, out.body = wordServed, a.Body
 	case call.Refused:
 		out.word = wordRefused
-		if a.RetryAfter > 0 {
+		if s.Advise && a.RetryAfter > 0 {
 			out.fields = "after=" + strconv.FormatInt(a.RetryAfter.Milliseconds(), 10)
 		}
 	default:
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -642,13 +642,21 @@
 		return
 	}
 	if !r.mayHaveRun() || r.class.Effect == Safe || (r.class.Effect == Keyed && r.class.Group == GroupAll) {
-		b.do(Refuse{ID: r.ID})
+		b.do(Refuse{ID: r.ID, RetryAfter: b.comeBack(r)})
 	} else {
 		b.do(Fail{ID: r.ID})
 	}
 	b.close(r, false)
 }
 
+// comeBack is the advice of a refusal: by then the copy that was lacking usually stands.
+func (b *Balancer) comeBack(r *request) time.Duration {
+	if !b.set.RetryAfter {
+		return 0
+	}
+	return min(sec(2*r.f.loadTime), b.set.MaxRetryAfter)
+}
+
 // close ends what is owed for a request; attempts still out are called off, but for a stream that has begun.
 func (b *Balancer) close(r *request, streaming bool) {
 	if r == nil {
