--- /dev/null
+++ b/cmd/kitefall/main_test.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"kitefall/internal/standin"
+)
+
+// A planned restart: what is open is answered, and what still comes is taken, before the program ends.
+func TestEndsAfterItHasAnswered(t *testing.T) {
+	w := standin.NewWorker(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := ln.Addr().String()
+	ln.Close()
+	path := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(path, fmt.Appendf(nil, `{"name":"n1","listen":%q,"seed":"8c1f30d27a5be964",
+		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"board":"127.0.0.1:1",
+		"known":{"rev":1,"notices":[{"rev":1,"pool":{"all":true,"targets":[{"uid":"s-1","endpoint":%q,"state":"active"}]}}]},
+		"settings":{"caps":{"cancel":true,"try_limit":4,"dial_timeout_us":250000,"idle_close_us":15000000,"max_streams":32},
+		"domain":{"placement_calls":true,"answer_within_us":5000000,"keep_alive_us":9000000},
+		"guarantees":{"drain_grace_us":1000000},
+		"grades":[{"name":"reserva","effect":"side_effect","deadline_us":5000000,"goal_time_us":4000000}]}}`, addr, w.Addr), 0o600))
+	ended := make(chan error, 1)
+	go func() { ended <- run(path, "") }()
+	connect := func() (c net.Conn) {
+		require.Eventually(t, func() bool { c, err = net.Dial("tcp", addr); return err == nil }, 5e9, 1e6)
+		require.NoError(t, c.SetDeadline(standin.By()))
+		return c
+	}
+	ask := func(c net.Conn, body string) {
+		fields := "id=1,wait=4000,key=7f3a9c21e0b4d655"
+		fmt.Fprintf(c, "*5\r\n$4\r\nCALL\r\n$1\r\n1\r\n$7\r\nreserva\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n", len(fields), fields,
+			len(body), body)
+	}
+	before := connect()
+	ask(before, "open")
+	open := w.Next()
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	after := connect()
+	ask(after, "new")
+	w.Next().OK("done")
+	open.OK("done")
+	for _, c := range []net.Conn{before, after} {
+		got, err := io.ReadAll(c) // to the end: the program closes what has nothing open
+		require.NoError(t, err)
+		assert.True(t, strings.HasSuffix(string(got), "$2\r\nok\r\n$0\r\n\r\n$4\r\ndone\r\n"), "%q", got)
+	}
+	assert.NoError(t, <-ended)
+}
--- /dev/null
+++ b/internal/board/board_test.go
@@ -0,0 +1,55 @@
+package board_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"kitefall/internal/board"
+	"kitefall/rules"
+)
+
+const whole = `{"rev":41,"notices":[{"rev":41,"pool":{"rev":7,"all":true,"targets":[{"uid":"s-1","endpoint":"10.1.0.9:4100",
+	"az":"east","model":"std","pod_group":2,"state":"active","capacity_hint":4,"boot_ms":7}]}}]}`
+
+// The board fails once, then repeats an event that was taken already: the list must neither stop nor go back.
+func TestPollsGoOnAndOldNoticesDoNot(t *testing.T) {
+	answers := []string{"", `{"rev":42,"notices":[
+		{"rev":41,"pool":{"targets":[{"uid":"s-1","state":"left"}]}},
+		{"rev":42,"pool":{"targets":[{"uid":"s-1","state":"leaving"},{"uid":"s-2","state":"active"}]}}]}`}
+	watches := make(chan string, len(answers)+1)
+	ctx, cancel := context.WithCancel(context.Background())
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		watches <- r.URL.Query().Get("watch")
+		switch {
+		case len(answers) == 0:
+			cancel()
+		case answers[0] == "":
+			w.WriteHeader(http.StatusBadGateway)
+		default:
+			w.Write([]byte(answers[0]))
+		}
+		answers = answers[min(1, len(answers)):]
+	}))
+	defer server.Close()
+	var news []board.List
+	w := board.NewWatcher(strings.TrimPrefix(server.URL, "http://"), func(l board.List) { news = append(news, l) })
+	var known board.Notices
+	require.NoError(t, json.Unmarshal([]byte(whole), &known))
+	w.Known(known)
+	w.Run(ctx)
+	assert.Equal(t, []string{"41", "41", "42"}, []string{<-watches, <-watches, <-watches})
+	require.Len(t, news, 2)
+	assert.Equal(t, rules.ListStale, news[0].Scope)
+	assert.Equal(t, board.Entry{Addr: "10.1.0.9:4100", Worker: rules.Worker{ID: "s-1", Kind: "std", Zone: "east", Cell: 2,
+		Weight: 4, Started: 7e6}}, news[0].Entries[0])
+	assert.Equal(t, rules.ListChange, news[1].Scope)
+	assert.Equal(t, []rules.WorkerState{rules.Draining, rules.Ready},
+		[]rules.WorkerState{news[1].Entries[0].State, news[1].Entries[1].State})
+}
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,174 @@
+// Package standin holds scripted peers for tests over loopback: workers, and a dispatcher to set between them
+// and clients. What a worker does with a call is the test's to say, call by call; nothing waits for a clock.
+package standin
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"kitefall/internal/board"
+	"kitefall/internal/dispatch"
+	"kitefall/internal/worker"
+	"kitefall/rules"
+)
+
+// By is a moment by which whatever a test waits for has come, or it never will.
+func By() time.Time { return time.Now().Add(10 * time.Second) }
+
+// Worker listens like a worker. Orders to load are answered at once; calls wait for the test.
+type Worker struct {
+	t     testing.TB
+	ln    net.Listener
+	Addr  string
+	Calls chan *Call // calls that have arrived whole
+	Gone  chan uint64
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// Call is a call at a worker.
+type Call struct {
+	ID     uint64
+	Fields string
+	Body   string
+	conn   net.Conn
+}
+
+// NewWorker starts a worker, which ends with the test.
+func NewWorker(t testing.TB) *Worker {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	w := &Worker{t: t, ln: ln, Addr: ln.Addr().String(), Calls: make(chan *Call, 64), Gone: make(chan uint64, 64),
+		runs: map[string]int{}}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go w.serve(c)
+		}
+	}()
+	return w
+}
+
+func (w *Worker) serve(c net.Conn) {
+	defer c.Close()
+	for {
+		head := make([]byte, 16)
+		if _, err := io.ReadFull(c, head); err != nil {
+			return
+		}
+		fields := int(binary.BigEndian.Uint16(head[2:]))
+		rest := make([]byte, fields+int(binary.BigEndian.Uint32(head[4:]))+4)
+		if _, err := io.ReadFull(c, rest); err != nil {
+			return
+		}
+		call := &Call{ID: binary.BigEndian.Uint64(head[8:]), Fields: string(rest[:fields]),
+			Body: string(rest[fields : len(rest)-4]), conn: c}
+		switch head[1] {
+		case 48:
+			w.mu.Lock()
+			w.runs[call.Body]++
+			w.mu.Unlock()
+			w.Calls <- call
+		case 49:
+			w.Gone <- call.ID
+		case 52:
+			call.Answer(64, "n=1", "")
+		}
+	}
+}
+
+// Next is the next call to arrive.
+func (w *Worker) Next() *Call {
+	w.t.Helper()
+	select {
+	case c := <-w.Calls:
+		return c
+	case <-time.After(time.Until(By())):
+		require.FailNow(w.t, "no call came to the worker")
+		return nil
+	}
+}
+
+// Runs is how often calls with the body have arrived.
+func (w *Worker) Runs(body string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[body]
+}
+
+// Frame makes an answer's frame.
+func Frame(code byte, id uint64, fields, body string) []byte {
+	out := []byte{193, code}
+	out = binary.BigEndian.AppendUint16(out, uint16(len(fields)))
+	out = binary.BigEndian.AppendUint32(out, uint32(len(body)))
+	out = binary.BigEndian.AppendUint64(out, id)
+	out = append(out, fields+body...)
+	return binary.BigEndian.AppendUint32(out, crc32.ChecksumIEEE(out[16:]))
+}
+
+// Answer writes an answer.
+func (c *Call) Answer(code byte, fields, body string) { c.Raw(Frame(code, c.ID, fields, body)) }
+
+// OK serves the call.
+func (c *Call) OK(body string) { c.Answer(64, "remark=hot", body) }
+
+// Raw writes bytes as they are.
+func (c *Call) Raw(p []byte) { c.conn.Write(p) }
+
+// Die resets the connection, as the kernel does for a process that dies.
+func (c *Call) Die() {
+	c.conn.(*net.TCPConn).SetLinger(0)
+	c.conn.Close()
+}
+
+// Settings are those of a small site: consulta may repeat, reserva must not.
+func Settings() rules.Settings {
+	return rules.Settings{Peers: 1, Cancel: true, SecondCopies: true, MaxAttempts: 4, Orders: true,
+		Keep: 10 * time.Second, OrderTimeout: 5 * time.Second, DialTimeout: time.Second, DrainGrace: time.Second,
+		MaxRetryAfter: 2 * time.Second, AnswerSlack: 16 * time.Millisecond,
+		Classes: []rules.Class{
+			{Name: "consulta", Worth: 1, Aim: time.Second, Deadline: 4 * time.Second, Effect: rules.Safe},
+			{Name: "reserva", Worth: 2, Aim: time.Second, Deadline: 4 * time.Second, Effect: rules.Unsafe}}}
+}
+
+// Links are settings for connections to match.
+func Links() worker.Config {
+	return worker.Config{DialTimeout: time.Second, IdleClose: 15 * time.Second, DrainGrace: time.Second, Streams: 32,
+		Connections: 4}
+}
+
+// NewCore starts a core that knows the workers. Who calls it stops it.
+func NewCore(t testing.TB, workers ...*Worker) *dispatch.Core {
+	c, err := dispatch.New(dispatch.Config{Settings: Settings(), Seed: 1, Links: Links(), MostOpen: 100,
+		MostHeld: 1 << 20})
+	require.NoError(t, err)
+	go c.Run()
+	if len(workers) > 0 {
+		c.News(List(workers...))
+	}
+	return c
+}
+
+// List is the whole list of workers; each has its address in its uid.
+func List(workers ...*Worker) board.List {
+	l := board.List{Scope: rules.ListFull, Told: time.Now()}
+	for _, w := range workers {
+		uid := "s-" + strings.ReplaceAll(w.Addr, ":", "-")
+		l.Entries = append(l.Entries, board.Entry{Worker: rules.Worker{ID: rules.WorkerID(uid), Weight: 1},
+			Addr: w.Addr})
+	}
+	return l
+}
--- /dev/null
+++ b/internal/worker/link_test.go
@@ -0,0 +1,85 @@
+package worker_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"kitefall/internal/standin"
+	"kitefall/internal/worker"
+	"kitefall/rules"
+)
+
+func call(t *testing.T, l *worker.Link, id uint64, until time.Time) (*worker.Job, chan worker.Result) {
+	ended := make(chan worker.Result, 1)
+	j, err := l.Call(id, "reserva", "7f3a9c21e0b4d655", []byte("x"), until, func(r worker.Result) { ended <- r })
+	require.NoError(t, err)
+	return j, ended
+}
+
+// Word of a drain, or the end of the time, may come while a call waits for its connection.
+func TestNothingIsWrittenAfterADrainOrTheDeadline(t *testing.T) {
+	w := standin.NewWorker(t)
+	c := standin.Links()
+	l := worker.NewLink("s-1", w.Addr, &c)
+	t.Cleanup(l.Close)
+	_, late := call(t, l, 1, time.Now().Add(-time.Millisecond))
+	assert.Equal(t, rules.Moot, (<-late).Status)
+	l.Drain(time.Now().Add(-c.DrainGrace), false)
+	_, drained := call(t, l, 2, standin.By())
+	assert.Equal(t, rules.Moot, (<-drained).Status)
+	order := make(chan worker.Result, 1)
+	_, err := l.Load("7f3a9c21e0b4d655", 1, standin.By(), func(r worker.Result) { order <- r })
+	require.NoError(t, err)
+	assert.Equal(t, rules.Full, (<-order).Status)
+	l.Drain(time.Time{}, false)
+	_, ended := call(t, l, 3, standin.By())
+	k := w.Next()
+	assert.Equal(t, uint64(3), k.ID) // the others never came
+	k.Answer(67, "same=5", "")
+	assert.Equal(t, worker.Result{Status: rules.Full, Crowd: 5, Body: []byte{}}, <-ended)
+}
+
+func TestRefusedConnectionProvesThatNothingRan(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ln.Close()
+	c := standin.Links()
+	_, ended := call(t, worker.NewLink("s-1", ln.Addr().String(), &c), 1, standin.By())
+	assert.Equal(t, rules.ConnectFailed, (<-ended).Status)
+}
+
+// The id of a call that was given up stays off its connection: its late answer would pass for the new one's.
+func TestGivenUpIDTakesAnotherConnection(t *testing.T) {
+	w := standin.NewWorker(t)
+	c := standin.Links()
+	l := worker.NewLink("s-1", w.Addr, &c)
+	t.Cleanup(l.Close)
+	j, _ := call(t, l, 1, standin.By())
+	first := w.Next()
+	assert.True(t, l.GiveUp(j), "it was written")
+	assert.Equal(t, uint64(1), <-w.Gone)
+	_, ended := call(t, l, 1, standin.By())
+	second := w.Next()
+	first.OK("late")
+	second.OK("in time")
+	assert.Equal(t, "in time", string((<-ended).Body))
+}
+
+// A uid that left takes nothing more, though another worker may listen at its address by now.
+func TestAddressOfAGoneWorkerIsNotUsed(t *testing.T) {
+	w := standin.NewWorker(t)
+	c := standin.Links()
+	l := worker.NewLink("s-1", w.Addr, &c)
+	l.Drain(time.Now(), true)
+	_, err := l.Call(1, "reserva", "aa", nil, standin.By(), func(worker.Result) {})
+	assert.Error(t, err)
+	heir := worker.NewLink("s-2", w.Addr, &c)
+	t.Cleanup(heir.Close)
+	_, ended := call(t, heir, 2, standin.By())
+	w.Next().OK("")
+	assert.Equal(t, rules.OK, (<-ended).Status)
+}
