--- a/cmd/kitefall/main.go
+++ b/cmd/kitefall/main.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"time"
 
+	"github.com/spiffe/go-spiffe/v2/workloadapi"
+
 	"kitefall/internal/board"
 	"kitefall/internal/config"
 	"kitefall/internal/dispatch"
@@ -73,9 +75,9 @@
 		watcher.Run(ctx)
 	}()
 	failed := make(chan error, 2)
-	shut := func() error { return nil }
+	edge := &invokeFront{}
 	if invokeFile != "" {
-		if shut, err = startInvoke(invokeFile, conf, core, failed); err != nil {
+		if edge, err = startInvoke(invokeFile, conf, core, failed); err != nil {
 			return err
 		}
 	}
@@ -101,51 +103,72 @@
 	time.Sleep(linger)
 	ln.Close()
 	front.Finish()
+	edge.finish()
 	for core.Open() > 0 || front.Clients() > 0 {
 		time.Sleep(look)
 	}
-	err = shut()
+	err = edge.close()
 	phases.Enter(life.Stopped)
 	return err
 }
 
-// startInvoke starts the invoke front. The function that it returns ends it, once nothing is open.
-func startInvoke(file string, conf *config.Config, core *dispatch.Core, failed chan<- error) (func() error, error) {
+// invokeFront is the invoke front and what stands behind it; empty if it is off.
+type invokeFront struct {
+	server   *invoke.Server
+	desk     *ticket.Desk
+	identity *workloadapi.X509Source
+	core     *dispatch.Core
+}
+
+func startInvoke(file string, conf *config.Config, core *dispatch.Core, failed chan<- error) (*invokeFront, error) {
 	c, err := invoke.ReadConfig(file, conf.Settings)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(identityBy))
 	defer cancel()
-	identity, err := invoke.Identify(ctx, c.WorkloadAPI)
-	if err != nil {
+	f := &invokeFront{core: core}
+	if f.identity, err = invoke.Identify(ctx, c.WorkloadAPI); err != nil {
 		return nil, err
 	}
 	store, err := ticket.OpenStore(c.Store, c.MostTickets, c.Retention, time.Now().Add(storeBy))
 	if err != nil {
 		return nil, err
 	}
-	desk := ticket.NewDesk(store, core, c.Prepare)
-	if err := desk.Resume(); err != nil {
+	f.desk = ticket.NewDesk(store, core, c.Prepare)
+	if err := f.desk.Resume(); err != nil {
 		return nil, err
 	}
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return nil, err
 	}
-	server := invoke.New(c, desk, identity)
+	f.server = invoke.New(c, f.desk, f.identity)
 	go func() {
-		if err := server.Serve(ln); err != nil {
+		if err := f.server.Serve(ln); err != nil {
 			failed <- err
 		}
 	}()
 	log.Printf("%s serves the invoke API on %s", conf.Name, ln.Addr())
-	return func() error {
-		ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(shutBy))
-		defer cancel()
-		server.Shutdown(ctx)
-		core.Stop()
-		identity.Close()
-		return desk.Close()
-	}, nil
+	return f, nil
+}
+
+// finish takes no new calls: else a busy edge would never come to its end.
+func (f *invokeFront) finish() {
+	if f.server != nil {
+		f.server.Finish()
+	}
+}
+
+// close ends the front, once nothing is open in the core.
+func (f *invokeFront) close() error {
+	if f.server == nil {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(shutBy))
+	defer cancel()
+	f.server.Shutdown(ctx)
+	f.core.Stop()
+	f.identity.Close()
+	return f.desk.Close()
 }
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -75,6 +75,9 @@
 	return Entry{Worker: w, Addr: t.Endpoint}
 }
 
+// direct reaches the board without a proxy, whatever the environment says.
+var direct = &http.Client{Transport: &http.Transport{}}
+
 // Watcher holds the number of the last event and passes later ones on, each once and in order.
 type Watcher struct {
 	addr string
@@ -140,7 +143,7 @@
 	if err != nil {
 		return err
 	}
-	a, err := http.DefaultClient.Do(q)
+	a, err := direct.Do(q)
 	if err != nil {
 		return err
 	}
--- a/internal/front/invoke/server.go
+++ b/internal/front/invoke/server.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/spiffe/go-spiffe/v2/bundle/x509bundle"
@@ -41,6 +42,7 @@
 	desk   *ticket.Desk
 	http   *http.Server
 	room   chan struct{}
+	ending atomic.Bool
 }
 
 // Identity is where the server's own SVID and the trust bundles come from: the Workload API.
@@ -80,6 +82,9 @@
 	return err
 }
 
+// Finish refuses new calls from now on, so that those in hand can come to their end.
+func (s *Server) Finish() { s.ending.Store(true) }
+
 // Shutdown takes no new connections and waits for the requests in hand, until ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
@@ -137,6 +142,9 @@
 // create takes an invocation. A synchronous one is created and waited for.
 func (s *Server) create(w http.ResponseWriter, r *http.Request, tenant string) *problem {
 	now := time.Now()
+	if s.ending.Load() {
+		return refused(now.Add(time.Second)).because("the dispatcher is being restarted")
+	}
 	o, p := s.order(w, r, tenant, now)
 	if p != nil {
 		return p
--- a/internal/front/resp/resp.go
+++ b/internal/front/resp/resp.go
@@ -49,7 +49,9 @@
 
 // Serve answers on ln, at most so many connections at a time, until Close.
 func (s *Server) Serve(ln net.Listener, connections int) error {
+	s.mu.Lock()
 	s.conns = map[*client]bool{}
+	s.mu.Unlock()
 	s.server = redcon.NewServer(ln.Addr().String(), s.first, nil, nil)
 	return s.server.Serve(listener{Listener: ln, room: make(chan struct{}, connections)})
 }
@@ -209,6 +211,7 @@
 	if p != nil && p.handle != nil {
 		p.handle.GiveUp()
 	}
+	c.server.leave(c)
 }
 
 // reply queues an answer to what opened nothing.
@@ -282,14 +285,17 @@
 	}
 	c.closed = true
 	close(c.quit)
-	open := c.tags
+	var open []*dispatch.Handle
+	for _, p := range c.tags {
+		if p.handle != nil {
+			open = append(open, p.handle)
+		}
+	}
 	c.tags = map[uint64]*pending{}
 	c.mu.Unlock()
 	c.net.Close()
-	for _, p := range open {
-		if p.handle != nil {
-			p.handle.GiveUp()
-		}
+	for _, h := range open {
+		h.GiveUp()
 	}
 	c.server.mu.Lock()
 	delete(c.server.conns, c)
