--- a/rules/rules.go
+++ b/rules/rules.go
@@ -39,7 +39,9 @@
 	keepTrust   = 0.6                    // a copy is believed to stand for this part of its idle time
 	loadStart   = 4.0                    // load orders in flight at the start
 	loadUsual   = 1.0                    // seconds that a load takes, till one has been seen
-	loadSlow    = 3.0                    // a load this many times slower than usual shrinks their number
+	loadSlow    = 1.5                    // a load this many times slower than usual shrinks their number
+	loadGrow    = 0.3                    // ... which grows by so much with every full round of them
+	loadCut     = 0.5                    // ... to this part
 	coldMargin  = 3.0                    // standard deviations of chance kept clear of the cold budget
 	windowStart = 12.0                   // in flight to a worker from all dispatchers at first; half at least
 	panicShare  = 0.5                    // when more of the fleet is suspect than this, suspicion is ignored
@@ -263,8 +265,6 @@
 	return best
 }
 
-func (b *Balancer) trust() time.Duration { return time.Duration(keepTrust * float64(b.set.Keep)) }
-
 // stands tells that a copy is believed to stand, by own calls.
 func (b *Balancer) stands(p *placed) bool {
 	return p.copies > 0 && (b.now < p.until || p.inflight > 0)
@@ -322,7 +322,7 @@
 	if e.Status == OK {
 		w.heard = b.now
 		p.missed, p.until, p.absent = false, b.now+b.trust(), 0
-		b.window += 1 / b.window
+		b.window += loadGrow / b.window
 		if took > usual*smooth { // less: it stood already
 			f.loadTime += (took - usual) * smooth
 		}
@@ -330,7 +330,7 @@
 		b.suspect(w, true)
 	}
 	if (e.Status != OK || took > loadSlow*usual) && b.now-b.shrunk > sec(usual/2) {
-		b.shrunk, b.window = b.now, math.Max(1, b.window*0.7)
+		b.shrunk, b.window = b.now, math.Max(1, b.window*loadCut)
 	}
 	b.resume(func(r *request) bool { return r.wait == p })
 }
@@ -808,8 +808,6 @@
 	}
 }
 
-func (b *Balancer) firstWindow() float64 { return math.Max(2, windowStart/float64(b.set.Peers)) }
-
 func (b *Balancer) shrink(w *worker) {
 	if b.now-w.shrunk > sec(b.answer) {
 		w.shrunk = b.now
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -114,6 +114,27 @@
 	}
 }
 
+// A crowded store slows every load; more orders at a time only add to the crowd.
+func TestSlowLoadsHalveTheOrdersInFlight(t *testing.T) {
+	f := newFleet(t, testSettings(), 1)
+	f.list(6)
+	f.to(2 * time.Second)
+	ask := func(name string) int {
+		f.loads, f.orders = nil, nil
+		for i := range 12 {
+			f.request("safe", fmt.Sprint(name, i), 2*time.Second)
+		}
+		return len(f.loads)
+	}
+	usual := ask("a")
+	for _, l := range f.orders {
+		f.event(LoadedEvent{Worker: l.Worker, Function: l.Function, Took: 2 * time.Second, Status: OK, Copies: 1})
+	}
+	if slow := ask("b"); slow < 1 || slow > usual/2+1 {
+		t.Errorf("%d orders in flight after slow loads, %d before", slow, usual)
+	}
+}
+
 func TestWaitsLeaveInTime(t *testing.T) {
 	f := newFleet(t, testSettings(), 1)
 	f.list(4)
--- a/rules/state.go
+++ b/rules/state.go
@@ -231,3 +231,7 @@
 	}
 	return b.set.ColdFrom + (1-b.set.ColdFrom)*math.Max(0, float64(age))/float64(b.set.ColdRamp)
 }
+
+func (b *Balancer) trust() time.Duration { return time.Duration(keepTrust * float64(b.set.Keep)) }
+
+func (b *Balancer) firstWindow() float64 { return math.Max(2, windowStart/float64(b.set.Peers)) }
