--- a/cmd/kitefall/main_test.go
+++ b/cmd/kitefall/main_test.go
@@ -16,14 +16,21 @@
 	"kitefall/internal/standin"
 )
 
+// free is an address that nothing listens at.
+func free(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
 // A planned restart: what is open is answered, and what still comes is taken, before the program ends.
 func TestEndsAfterItHasAnswered(t *testing.T) {
 	w := standin.NewWorker(t)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	addr := ln.Addr().String()
-	ln.Close()
-	path := filepath.Join(t.TempDir(), "config.json")
+	addr, edge, ca := free(t), free(t), standin.NewAuthority(t)
+	path, invokeFile := filepath.Join(t.TempDir(), "config.json"), filepath.Join(t.TempDir(), "invoke.toml")
+	require.NoError(t, os.WriteFile(invokeFile, fmt.Appendf(nil, "listen = %q\nworkload_api = %q\nstore = %q\n"+
+		"[tenants]\n\"spiffe://turnos.example/desk/a\" = \"a\"\n", edge, ca.Addr, invokeFile+".db"), 0o600))
 	require.NoError(t, os.WriteFile(path, fmt.Appendf(nil, `{"name":"n1","listen":%q,"seed":"8c1f30d27a5be964",
 		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"board":"127.0.0.1:1",
 		"known":{"rev":1,"notices":[{"rev":1,"pool":{"all":true,"targets":[{"uid":"s-1","endpoint":%q,"state":"active"}]}}]},
@@ -32,9 +39,13 @@
 		"guarantees":{"drain_grace_us":1000000},
 		"grades":[{"name":"reserva","effect":"side_effect","deadline_us":5000000,"goal_time_us":4000000}]}}`, addr, w.Addr), 0o600))
 	ended := make(chan error, 1)
-	go func() { ended <- run(path, "") }()
+	go func() { ended <- run(path, invokeFile) }()
 	connect := func() (c net.Conn) {
-		require.Eventually(t, func() bool { c, err = net.Dial("tcp", addr); return err == nil }, 5e9, 1e6)
+		require.Eventually(t, func() (up bool) {
+			var err error
+			c, err = net.Dial("tcp", addr)
+			return err == nil
+		}, 5e9, 1e6)
 		require.NoError(t, c.SetDeadline(standin.By()))
 		return c
 	}
@@ -44,6 +55,10 @@
 			len(body), body)
 	}
 	before := connect()
+	none, err := ca.Client(standin.Domain + "/desk/a").Get("https://" + edge + "/v1/invocations/none")
+	require.NoError(t, err)
+	none.Body.Close()
+	assert.Equal(t, 404, none.StatusCode, "the invoke front is up before the platform's")
 	ask(before, "open")
 	open := w.Next()
 	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
--- a/internal/front/invoke/server.go
+++ b/internal/front/invoke/server.go
@@ -33,6 +33,7 @@
 	slack         = 250 * time.Millisecond // past a call's deadline, for its answer to be stored
 	readBy        = 10 * time.Second       // poor links are slow, but a request is small
 	mostHeader    = 16 << 10
+	mostSeconds   = 86400
 	mostStreams   = 64 // of one HTTP/2 connection
 )
 
@@ -68,7 +69,7 @@
 	conf.MinVersion = tls.VersionTLS12
 	// A resumed session would skip the check of the peer's SVID: it could outlive a bundle that was withdrawn.
 	conf.SessionTicketsDisabled = true
-	s.http = &http.Server{Handler: mux, TLSConfig: conf, ReadTimeout: readBy, MaxHeaderBytes: mostHeader,
+	s.http = &http.Server{Handler: mux, TLSConfig: conf, ReadHeaderTimeout: readBy, MaxHeaderBytes: mostHeader,
 		IdleTimeout: time.Minute, HTTP2: &http.HTTP2Config{MaxConcurrentStreams: mostStreams}}
 	return s
 }
@@ -150,17 +151,33 @@
 		return p
 	}
 	prefer := preferences(r)
+	until, p := s.until(prefer, now)
+	if p != nil {
+		return p
+	}
 	t, err := s.desk.Take(o)
 	if err != nil {
 		return problemOf(err)
 	}
-	if _, async := prefer["respond-async"]; async && t.End == ticket.Open {
+	if _, async := prefer["respond-async"]; async {
 		w.Header().Set("Preference-Applied", "respond-async")
-		return s.pending(w, t)
+	} else {
+		until = t.Deadline.Add(slack)
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), t.Deadline.Add(slack))
-	defer cancel()
-	return s.show(ctx, w, tenant, t.ID)
+	return s.show(w, r, until, tenant, t.ID)
+}
+
+// until is how long the client prefers to wait, within the operator's bound; now, if it does not say.
+func (s *Server) until(prefer map[string]string, now time.Time) (time.Time, *problem) {
+	text, ok := prefer["wait"]
+	if !ok {
+		return now, nil
+	}
+	seconds, err := strconv.Atoi(text)
+	if err != nil || seconds < 0 {
+		return now, badRequest("Prefer: wait is a whole number of seconds")
+	}
+	return now.Add(min(time.Duration(min(seconds, mostSeconds))*time.Second, s.config.MostWait)), nil
 }
 
 // order reads and checks a request. What the workers need to know comes from the catalogue alone.
@@ -182,11 +199,15 @@
 	deadline := now.Add(f.Deadline)
 	if asked := r.Header.Get(timeoutHeader); asked != "" {
 		seconds, err := strconv.ParseFloat(asked, 64)
-		if err != nil || !(seconds > 0 && seconds < 1e6) {
+		if err != nil || !(seconds > 0 && seconds < mostSeconds) {
 			return ticket.Order{}, badRequest(timeoutHeader + " is a number of seconds above 0")
 		}
 		deadline = now.Add(min(time.Duration(seconds*float64(time.Second)), f.MostTime))
 	}
+	// A read deadline left in force would end the wait for the answer too: it is for the body alone.
+	reading := http.NewResponseController(w)
+	reading.SetReadDeadline(now.Add(readBy))
+	defer reading.SetReadDeadline(time.Time{})
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, f.MostBody))
 	if large := (*http.MaxBytesError)(nil); errors.As(err, &large) {
 		return ticket.Order{}, newProblem(http.StatusRequestEntityTooLarge, "too-large",
@@ -202,17 +223,11 @@
 }
 
 func (s *Server) poll(w http.ResponseWriter, r *http.Request, tenant string) *problem {
-	until := time.Now()
-	if text, ok := preferences(r)["wait"]; ok {
-		seconds, err := strconv.Atoi(text)
-		if err != nil || seconds < 0 {
-			return badRequest("Prefer: wait is a whole number of seconds")
-		}
-		until = until.Add(min(time.Duration(min(seconds, 86400))*time.Second, s.config.MostWait))
+	until, p := s.until(preferences(r), time.Now())
+	if p != nil {
+		return p
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), until)
-	defer cancel()
-	return s.show(ctx, w, tenant, r.PathValue("ticket"))
+	return s.show(w, r, until, tenant, r.PathValue("ticket"))
 }
 
 func (s *Server) giveUp(w http.ResponseWriter, r *http.Request, tenant string) *problem {
@@ -227,8 +242,10 @@
 	return nil
 }
 
-// show waits for a ticket's final answer until ctx ends, and answers with what there is then.
-func (s *Server) show(ctx context.Context, w http.ResponseWriter, tenant, id string) *problem {
+// show waits for a ticket's final answer until then, and answers with what there is.
+func (s *Server) show(w http.ResponseWriter, r *http.Request, until time.Time, tenant, id string) *problem {
+	ctx, cancel := context.WithDeadline(r.Context(), until)
+	defer cancel()
 	t, err := s.desk.Wait(ctx, tenant, id)
 	switch {
 	case err != nil:
--- a/internal/front/resp/resp_test.go
+++ b/internal/front/resp/resp_test.go
@@ -24,6 +24,11 @@
 
 // dispatcher starts a core and its RESP front, and returns a way to connect to it.
 func dispatcher(t *testing.T, workers ...*standin.Worker) func() *client {
+	_, connect := serve(t, workers...)
+	return connect
+}
+
+func serve(t *testing.T, workers ...*standin.Worker) (*resp.Server, func() *client) {
 	core := standin.NewCore(t, workers...)
 	t.Cleanup(core.Stop)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -31,7 +36,7 @@
 	t.Cleanup(func() { ln.Close() })
 	s := &resp.Server{Core: core, Ready: core.Known}
 	go s.Serve(ln, 64)
-	return func() *client {
+	return s, func() *client {
 		c, err := net.Dial("tcp", ln.Addr().String())
 		require.NoError(t, err)
 		t.Cleanup(func() { c.Close() })
@@ -156,6 +161,29 @@
 	assert.Equal(t, "2 ok  in time", c.hear())
 }
 
+// A worker that says nothing: the deadline ends the call, and the worker is told to give it up.
+func TestSilenceEndsAtTheDeadline(t *testing.T) {
+	w := standin.NewWorker(t)
+	c := dispatcher(t, w)()
+	c.say("CALL", "1", "reserva", "id=9b1f03aa5c7e2d41,wait=200,key=7f3a9c21e0b4d655", "book")
+	k := w.Next()
+	assert.Equal(t, "1 fault  ", c.hear())
+	assert.Equal(t, k.ID, <-w.Gone)
+}
+
+// While it drains, a connection that a CANCEL leaves without open requests must close, or the program never ends.
+func TestDrainingClosesAConnectionLeftIdleByACancel(t *testing.T) {
+	w := standin.NewWorker(t)
+	s, connect := serve(t, w)
+	c := connect()
+	c.call(1, "reserva", "book")
+	w.Next()
+	s.Finish()
+	c.say("CANCEL", "1")
+	_, err := c.r.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
+
 func TestBadRequests(t *testing.T) {
 	connect := dispatcher(t, standin.NewWorker(t))
 	c := connect()
