--- a/rules/rules.go
+++ b/rules/rules.go
@@ -39,9 +39,9 @@
 	keepTrust   = 0.6                    // a copy is believed to stand for this part of its idle time
 	loadStart   = 4.0                    // load orders in flight at the start
 	loadUsual   = 1.0                    // seconds that a load takes, till one has been seen
-	loadSlow    = 1.5                    // a load this many times slower than usual shrinks their number
-	loadGrow    = 0.3                    // ... which grows by so much with every full round of them
-	loadCut     = 0.5                    // ... to this part
+	loadSlow    = 1.5                    // a load this many times slower than usual cuts their number ...
+	loadCut     = 0.5                    // ... to this part ...
+	loadLeast   = 2.0                    // ... and this many at the least
 	coldMargin  = 3.0                    // standard deviations of chance kept clear of the cold budget
 	windowStart = 12.0                   // in flight to a worker from all dispatchers at first; half at least
 	panicShare  = 0.5                    // when more of the fleet is suspect than this, suspicion is ignored
@@ -322,7 +322,7 @@
 	if e.Status == OK {
 		w.heard = b.now
 		p.missed, p.until, p.absent = false, b.now+b.trust(), 0
-		b.window += loadGrow / b.window
+		b.window += 1 / b.window
 		if took > usual*smooth { // less: it stood already
 			f.loadTime += (took - usual) * smooth
 		}
@@ -330,7 +330,7 @@
 		b.suspect(w, true)
 	}
 	if (e.Status != OK || took > loadSlow*usual) && b.now-b.shrunk > sec(usual/2) {
-		b.shrunk, b.window = b.now, math.Max(1, b.window*loadCut)
+		b.shrunk, b.window = b.now, math.Max(loadLeast, b.window*loadCut)
 	}
 	b.resume(func(r *request) bool { return r.wait == p })
 }
