Check the operator's file: deadlines within the class's, names the workers can read

Found on reading: a catalogue deadline beyond the class's own would make the module take the platform's first tries for late repeats (it goes by the longest time seen in a class); a function's name that is not 16 hex digits would break the frames' fields. Both now stop the program with a plain message.

--- a/internal/front/invoke/config.go
+++ b/internal/front/invoke/config.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/BurntSushi/toml"
@@ -76,20 +77,27 @@
 		}
 		c.ids[id] = tenant
 	}
-	effects := map[string]rules.Effect{}
+	classes := map[string]rules.Class{}
 	for _, g := range settings.Classes {
-		effects[g.Name] = g.Effect
+		classes[g.Name] = g
 	}
 	for name, f := range c.Functions {
-		effect, ok := effects[f.Class]
-		f.safe = ok && effect == rules.Safe
+		class, ok := classes[f.Class]
+		f.safe = ok && class.Effect == rules.Safe
 		if f.MostBody == 0 {
 			f.MostBody = mostBody
 		}
 		if f.ContentType == "" {
 			f.ContentType = "application/json"
 		}
-		if !ok || f.Key == "" || f.Deadline <= 0 || f.MostTime < f.Deadline || f.MostBody > mostBody {
+		// The module takes the longest time seen in a class for that of a first try. One beyond the class's own
+		// would make it take the other front's first tries for late repeats.
+		if f.MostTime > class.Deadline {
+			err = errors.Join(err, fmt.Errorf("function %s: most_deadline is over the %v of class %s", name,
+				class.Deadline, f.Class))
+		}
+		_, bad := strconv.ParseUint(f.Key, 16, 64) // as the workers' protocol names functions
+		if !ok || bad != nil || len(f.Key) != 16 || f.Deadline <= 0 || f.MostTime < f.Deadline || f.MostBody > mostBody {
 			err = errors.Join(err, fmt.Errorf("function %s: class, key, deadlines or most_body cannot work", name))
 		}
 	}
--- a/internal/front/invoke/invoke_test.go
+++ b/internal/front/invoke/invoke_test.go
@@ -312,6 +312,19 @@
 	assert.Equal(t, "1", a.header.Get("Retry-After"))
 }
 
+// A file that would not do what it says stops the program, rather than run with a bound less.
+func TestOperatorsFile(t *testing.T) {
+	_, err := invoke.ReadConfig("../../../deploy/invoke.toml", standin.Settings())
+	require.NoError(t, err)
+	for old, wrong := range map[string]string{"most_body = 64": "most_bodies = 64", `"reserva"`: `"reservas"`,
+		`most_deadline = "4s"`: `most_deadline = "5s"`, "7f3a9c21e0b4d655": "a,b=c", "spiffe://": "https://"} {
+		file := filepath.Join(t.TempDir(), "invoke.toml")
+		require.NoError(t, os.WriteFile(file, []byte(strings.Replace(operators, old, wrong, 1)), 0o600))
+		_, err := invoke.ReadConfig(file, standin.Settings())
+		assert.Error(t, err, wrong)
+	}
+}
+
 func TestBadInput(t *testing.T) {
 	e := newEdge(t, standin.NewWorker(t))
 	for _, c := range []struct {
