Settle jobs on a link in one place; drop what nothing uses

Found on reading: GiveUp() took the id of a job out of the open ones without the check that finish() beside it has, so giving up an answered call could lose the answer to a later one with the same id. Both now call settle(); the test fails without its check. Two tests that waited for either of two workers, with no bound, share standin.Either, which has one. life.Ready, which nothing called, is gone.

--- a/internal/front/resp/resp.go
+++ b/internal/front/resp/resp.go
@@ -47,7 +47,7 @@
 	done   bool
 }
 
-// Serve answers on ln, at most so many connections at a time, until Close.
+// Serve answers on ln, at most so many connections at a time, until ln is closed.
 func (s *Server) Serve(ln net.Listener, connections int) error {
 	s.mu.Lock()
 	s.conns = map[*client]bool{}
--- a/internal/front/resp/resp_test.go
+++ b/internal/front/resp/resp_test.go
@@ -110,12 +110,8 @@
 	w, other := standin.NewWorker(t), standin.NewWorker(t)
 	c := dispatcher(t, w, other)()
 	c.call(1, "reserva", "book")
-	select {
-	case k := <-w.Calls:
-		k.Die()
-	case k := <-other.Calls:
-		k.Die()
-	}
+	k, _ := standin.Either(w, other)
+	k.Die()
 	assert.Equal(t, "1 fault  ", c.hear())
 	assert.Equal(t, 1, w.Runs("book")+other.Runs("book"))
 }
@@ -136,14 +132,9 @@
 	w, other := standin.NewWorker(t), standin.NewWorker(t)
 	c := dispatcher(t, w, other)()
 	c.call(1, "consulta", "look")
-	select {
-	case k := <-w.Calls:
-		k.Die()
-		other.Next().OK("seen")
-	case k := <-other.Calls:
-		k.Die()
-		w.Next().OK("seen")
-	}
+	k, rest := standin.Either(w, other)
+	k.Die()
+	rest.Next().OK("seen")
 	assert.Equal(t, "1 ok  seen", c.hear())
 }
 
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -2,7 +2,6 @@
 package life
 
 import (
-	"fmt"
 	"log"
 	"sync"
 )
@@ -49,11 +48,3 @@
 	l.phase = p
 	return true
 }
-
-// Ready is nil once the program serves.
-func (l *Life) Ready() error {
-	if p := l.Phase(); p != Serving {
-		return fmt.Errorf("%s", p)
-	}
-	return nil
-}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -102,6 +102,20 @@
 	}
 }
 
+// Either is the next call to arrive at one of two workers, and the other worker.
+func Either(a, b *Worker) (*Call, *Worker) {
+	a.t.Helper()
+	select {
+	case c := <-a.Calls:
+		return c, b
+	case c := <-b.Calls:
+		return c, a
+	case <-time.After(time.Until(By())):
+		require.FailNow(a.t, "no call came to either worker")
+		return nil, nil
+	}
+}
+
 // Runs is how often calls with the body have arrived.
 func (w *Worker) Runs(body string) int {
 	w.mu.Lock()
--- a/internal/worker/link.go
+++ b/internal/worker/link.go
@@ -159,13 +159,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := j.conn
-	if j.ended || c.shut || j.written.IsZero() {
-		j.ended = true
-		delete(c.open, j.id)
+	if first := c.settle(j); !first || c.shut || j.written.IsZero() {
 		return !j.written.IsZero()
 	}
-	j.ended = true
-	delete(c.open, j.id)
 	now := time.Now()
 	// A machine that was cut off leaves its connections open and silent. New ones tell: they fail to come up,
 	// and what was to go there never ran.
@@ -320,15 +316,22 @@
 // finish ends a job once.
 func (c *conn) finish(j *Job, r Result) {
 	c.link.mu.Lock()
+	first := c.settle(j)
+	c.link.mu.Unlock()
+	if first && j.done != nil {
+		j.done(r)
+	}
+}
+
+// settle marks a job as ended, with the link locked, and tells whether it was open until now. A later job may
+// bear its id by then, and stays open.
+func (c *conn) settle(j *Job) bool {
 	first := !j.ended
 	j.ended = true
 	if c.open[j.id] == j {
 		delete(c.open, j.id)
 	}
-	c.link.mu.Unlock()
-	if first && j.done != nil {
-		j.done(r)
-	}
+	return first
 }
 
 // shutdown closes the connection, once, with the link locked.
--- a/internal/worker/link_test.go
+++ b/internal/worker/link_test.go
@@ -69,6 +69,21 @@
 	assert.Equal(t, "in time", string((<-ended).Body))
 }
 
+// Giving up what has been answered must not end a later call that bears the same id.
+func TestGivingUpAnAnsweredCallLeavesALaterOneOpen(t *testing.T) {
+	w := standin.NewWorker(t)
+	c := standin.Links()
+	l := worker.NewLink("s-1", w.Addr, &c)
+	t.Cleanup(l.Close)
+	j, first := call(t, l, 1, standin.By())
+	w.Next().OK("first")
+	<-first
+	_, second := call(t, l, 1, standin.By())
+	l.GiveUp(j)
+	w.Next().OK("second")
+	assert.Equal(t, "second", string((<-second).Body))
+}
+
 // A uid that left takes nothing more, though another worker may listen at its address by now.
 func TestAddressOfAGoneWorkerIsNotUsed(t *testing.T) {
 	w := standin.NewWorker(t)
