Follow the new board on SIGHUP, and poll it for one second at a time

At fault: run() in cmd/kitefall/main.go (signal.Notify for SIGTERM and interrupt only); board.Watcher, whose address was fixed at its start; linger 4 s + 2 s in internal/board/board.go, by which a board that stops while open was found out after 6 s.

Now: SIGHUP is caught from the first moment on; phase reloading and back; the file is read again, Watcher.Move drops the poll in hand and asks the new board at once from the same event number. A file that cannot be used changes nothing.

Tests: TestReloadFollowsTheNewBoard (the process dies without the change), TestMovedBoardIsAskedAtOnce (hangs without it).

--- a/cmd/kitefall/main.go
+++ b/cmd/kitefall/main.go
@@ -52,6 +52,10 @@
 func run(path, invokeFile string) error {
 	ended := make(chan os.Signal, 1)
 	signal.Notify(ended, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(ended)
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP) // from the first moment on: unhandled, it would end the program
+	defer signal.Stop(again)
 	conf, err := config.Read(path)
 	if err != nil {
 		return err
@@ -89,11 +93,17 @@
 		if core.Known() {
 			phases.Enter(life.Serving)
 		}
-		return phases.Phase() == life.Serving
+		return phases.Phase().Up()
 	}
 	front := &resp.Server{Core: core, Ready: ready, Advise: conf.Settings.RetryAfter}
 	go func() { failed <- front.Serve(ln, conf.ClientConnections()) }()
 	log.Printf("%s listens on %s", conf.Name, conf.Listen)
+	go func() {
+		for range again {
+			ready() // the list may be known without a CHECK having asked
+			reload(path, conf, watcher, phases)
+		}
+	}()
 	select {
 	case err := <-failed:
 		return err
@@ -112,6 +122,24 @@
 	return err
 }
 
+// reload reads the configuration again and follows the board that it names, in whatever phase the program is: a
+// drain must be heard of also by one that ends. A file that cannot be used changes nothing.
+func reload(path string, old *config.Config, watcher *board.Watcher, phases *life.Life) {
+	if phases.Enter(life.Reloading) {
+		defer phases.Enter(life.Serving)
+	}
+	conf, err := config.Read(path)
+	if err != nil {
+		log.Printf("reload: the settings stay as they were: %v", err)
+		return
+	}
+	if !conf.SameBut(old) {
+		log.Printf("reload: other settings than the board have changed: they count from the next start on")
+	}
+	watcher.Move(conf.Board)
+	log.Printf("reload: the board is at %s", conf.Board)
+}
+
 // invokeFront is the invoke front and what stands behind it; empty if it is off.
 type invokeFront struct {
 	server   *invoke.Server
--- a/cmd/kitefall/main_test.go
+++ b/cmd/kitefall/main_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -24,6 +26,55 @@
 	return ln.Addr().String()
 }
 
+func configure(t *testing.T, path, addr, board string, w *standin.Worker) {
+	require.NoError(t, os.WriteFile(path, fmt.Appendf(nil, `{"name":"n1","listen":%q,"seed":"8c1f30d27a5be964",
+		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"board":%q,
+		"known":{"rev":1,"notices":[{"rev":1,"pool":{"all":true,"targets":[{"uid":"s-1","endpoint":%q,"state":"active"}]}}]},
+		"settings":{"caps":{"cancel":true,"try_limit":4,"dial_timeout_us":250000,"idle_close_us":15000000,"max_streams":32},
+		"domain":{"placement_calls":true,"answer_within_us":5000000,"keep_alive_us":9000000},
+		"guarantees":{"drain_grace_us":1000000},
+		"grades":[{"name":"reserva","effect":"side_effect","deadline_us":5000000,"goal_time_us":4000000}]}}`,
+		addr, board, w.Addr), 0o600))
+}
+
+func connect(t *testing.T, addr string) (c net.Conn) {
+	require.Eventually(t, func() (up bool) {
+		var err error
+		c, err = net.Dial("tcp", addr)
+		return err == nil
+	}, 5e9, 1e6)
+	require.NoError(t, c.SetDeadline(standin.By()))
+	return c
+}
+
+// SIGHUP: a broken file changes nothing, a good one moves the watcher to its board, and the program goes on.
+func TestReloadFollowsTheNewBoard(t *testing.T) {
+	w, addr, path := standin.NewWorker(t), free(t), filepath.Join(t.TempDir(), "config.json")
+	polls := make(chan string, 64)
+	serve := func(name string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			polls <- name + " " + r.URL.Query().Get("watch")
+			<-r.Context().Done()
+		}))
+		t.Cleanup(s.Close)
+		return strings.TrimPrefix(s.URL, "http://")
+	}
+	first, second := serve("first"), serve("second")
+	configure(t, path, addr, first, w)
+	ended := make(chan error, 1)
+	go func() { ended <- run(path, "") }()
+	connect(t, addr).Close()
+	require.Equal(t, "first 1", <-polls)
+	require.NoError(t, os.WriteFile(path, []byte(`{"board":`), 0o600))
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	require.Equal(t, "first 1", <-polls, "it goes on with the board that it has")
+	configure(t, path, addr, second, w)
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	require.Eventually(t, func() bool { return <-polls == "second 1" }, 5e9, 1e6)
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	assert.NoError(t, <-ended)
+}
+
 // A planned restart: what is open is answered, and what still comes is taken, before the program ends.
 func TestEndsAfterItHasAnswered(t *testing.T) {
 	w := standin.NewWorker(t)
@@ -31,24 +82,10 @@
 	path, invokeFile := filepath.Join(t.TempDir(), "config.json"), filepath.Join(t.TempDir(), "invoke.toml")
 	require.NoError(t, os.WriteFile(invokeFile, fmt.Appendf(nil, "listen = %q\nworkload_api = %q\nstore = %q\n"+
 		"[tenants]\n\"spiffe://turnos.example/desk/a\" = \"a\"\n", edge, ca.Addr, invokeFile+".db"), 0o600))
-	require.NoError(t, os.WriteFile(path, fmt.Appendf(nil, `{"name":"n1","listen":%q,"seed":"8c1f30d27a5be964",
-		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"board":"127.0.0.1:1",
-		"known":{"rev":1,"notices":[{"rev":1,"pool":{"all":true,"targets":[{"uid":"s-1","endpoint":%q,"state":"active"}]}}]},
-		"settings":{"caps":{"cancel":true,"try_limit":4,"dial_timeout_us":250000,"idle_close_us":15000000,"max_streams":32},
-		"domain":{"placement_calls":true,"answer_within_us":5000000,"keep_alive_us":9000000},
-		"guarantees":{"drain_grace_us":1000000},
-		"grades":[{"name":"reserva","effect":"side_effect","deadline_us":5000000,"goal_time_us":4000000}]}}`, addr, w.Addr), 0o600))
+	configure(t, path, addr, "127.0.0.1:1", w)
 	ended := make(chan error, 1)
 	go func() { ended <- run(path, invokeFile) }()
-	connect := func() (c net.Conn) {
-		require.Eventually(t, func() (up bool) {
-			var err error
-			c, err = net.Dial("tcp", addr)
-			return err == nil
-		}, 5e9, 1e6)
-		require.NoError(t, c.SetDeadline(standin.By()))
-		return c
-	}
+	connect := func() net.Conn { return connect(t, addr) }
 	ask := func(c net.Conn, body string) {
 		fields := "id=1,wait=4000,key=7f3a9c21e0b4d655"
 		fmt.Fprintf(c, "*5\r\n$4\r\nCALL\r\n$1\r\n1\r\n$7\r\nreserva\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n", len(fields), fields,
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -8,16 +8,20 @@
 	"io"
 	"log"
 	"net/http"
+	"sync"
 	"time"
 
 	"kitefall/rules"
 )
 
 const (
-	linger     = 4 * time.Second        // how long the board may hold a poll; 5 s at most
-	answerBy   = linger + 2*time.Second // a poll unanswered by then is lost, and another is made
-	again      = 100 * time.Millisecond // pause after a failed poll
-	mostAnswer = 4 << 20                // bytes of an answer
+	// linger is how long the board may hold a poll, 5 s at most. Short, since a board that stops and stays open
+	// is found out only by a poll that goes unanswered: with answerBy it bounds how old the list may be, and
+	// new work to a worker that drains must end a grace of 1 s after what the board would have told.
+	linger     = time.Second
+	answerBy   = linger + 400*time.Millisecond // a poll unanswered by then is lost, and another is made
+	again      = 50 * time.Millisecond         // pause after a failed poll
+	mostAnswer = 4 << 20                       // bytes of an answer
 )
 
 // Notices is an answer of the board.
@@ -80,14 +84,35 @@
 
 // Watcher holds the number of the last event and passes later ones on, each once and in order.
 type Watcher struct {
-	addr string
 	rev  int64
 	seen bool // a whole list has come
 	pass func(List)
+
+	mu    sync.Mutex
+	addr  string
+	moved chan struct{} // closed when addr changes
 }
 
 // NewWatcher returns a watcher of the board at addr. News go to pass, from the goroutine that calls Known or Run.
-func NewWatcher(addr string, pass func(List)) *Watcher { return &Watcher{addr: addr, pass: pass} }
+func NewWatcher(addr string, pass func(List)) *Watcher {
+	return &Watcher{addr: addr, pass: pass, moved: make(chan struct{})}
+}
+
+// Move has the watcher follow the board at addr from now on. The poll in hand is dropped, since the old board
+// may hold it and tell nothing more; the numbers of events go on.
+func (w *Watcher) Move(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.addr = addr
+	close(w.moved)
+	w.moved = make(chan struct{})
+}
+
+func (w *Watcher) board() (string, chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.addr, w.moved
+}
 
 // Known takes in the events of the start: they may be old.
 func (w *Watcher) Known(n Notices) { w.take(n, rules.ListStale) }
@@ -118,7 +143,13 @@
 func (w *Watcher) Run(ctx context.Context) {
 	failing := false
 	for ctx.Err() == nil {
-		err := w.poll(ctx)
+		addr, moved := w.board()
+		err := w.poll(ctx, addr, moved)
+		select {
+		case <-moved: // the new board is asked at once, and how the old one ended says nothing
+			continue
+		default:
+		}
 		if (err != nil) != failing && ctx.Err() == nil {
 			if failing = err != nil; failing {
 				log.Printf("board: poll failed, the list stays as it is: %v", err)
@@ -129,16 +160,24 @@
 		if err != nil {
 			select {
 			case <-time.After(again):
+			case <-moved:
 			case <-ctx.Done():
 			}
 		}
 	}
 }
 
-func (w *Watcher) poll(ctx context.Context) error {
+func (w *Watcher) poll(ctx context.Context, addr string, moved chan struct{}) error {
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(answerBy))
 	defer cancel()
-	url := fmt.Sprintf("http://%s/board/poll?watch=%d&linger=%d", w.addr, w.rev, linger.Milliseconds())
+	go func() {
+		select {
+		case <-moved:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	url := fmt.Sprintf("http://%s/board/poll?watch=%d&linger=%d", addr, w.rev, linger.Milliseconds())
 	q, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -53,3 +53,31 @@
 	assert.Equal(t, []rules.WorkerState{rules.Draining, rules.Ready},
 		[]rules.WorkerState{news[1].Entries[0].State, news[1].Entries[1].State})
 }
+
+// The board moves while it holds a poll, and never answers that: the new one is asked at once, from the same
+// number on.
+func TestMovedBoardIsAskedAtOnce(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	held, watch := make(chan bool, 1), make(chan string, 1)
+	old := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		held <- true
+		<-r.Context().Done()
+	}))
+	defer old.Close()
+	next := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		watch <- r.URL.Query().Get("watch")
+		cancel()
+	}))
+	defer next.Close()
+	w := board.NewWatcher(strings.TrimPrefix(old.URL, "http://"), func(board.List) {})
+	var known board.Notices
+	require.NoError(t, json.Unmarshal([]byte(whole), &known))
+	w.Known(known)
+	ended := make(chan bool)
+	go func() { w.Run(ctx); close(ended) }()
+	<-held
+	w.Move(strings.TrimPrefix(next.URL, "http://"))
+	assert.Equal(t, "41", <-watch)
+	<-ended
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -2,8 +2,10 @@
 package config
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"strconv"
 
@@ -60,12 +62,21 @@
 	if c.Connections, err = wire.ReadConnections(c.Raw); err != nil {
 		return nil, fmt.Errorf("%s: settings: %w", path, err)
 	}
+	if _, _, err := net.SplitHostPort(c.Board); err != nil {
+		return nil, fmt.Errorf("%s: board: %w", path, err)
+	}
 	if c.Connections.Streams < 1 || c.Connections.IdleClose <= 0 || c.Limits.Sockets < 64 || c.Limits.MemoryMB < 32 {
 		return nil, fmt.Errorf("%s: limits %+v and connections %+v leave no room to work", path, c.Limits, c.Connections)
 	}
 	return c, nil
 }
 
+// SameBut tells whether a configuration differs from another in nothing but what a reload takes up or a start
+// draws anew.
+func (c *Config) SameBut(o *Config) bool {
+	return c.Name == o.Name && c.Listen == o.Listen && c.Limits == o.Limits && bytes.Equal(c.Raw, o.Raw)
+}
+
 func (c *Config) memory(share float64) int64 { return int64(c.Limits.MemoryMB * share * (1 << 20)) }
 
 // MemoryLimit is what the garbage collector keeps to, in bytes.
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -9,18 +9,23 @@
 // Phase is a state of the program.
 type Phase int
 
-// The phases, in the only order in which they come.
+// The phases, in the order in which they come. Only Reloading comes again and again: the program leaves
+// Serving for it and goes back.
 const (
 	Starting Phase = iota // the list of workers is not known yet
 	Serving
-	Draining // told to end: new calls are still taken for a while, open ones are answered
+	Reloading // reads the configuration again; calls are served all the while
+	Draining  // told to end: new calls are still taken for a while, open ones are answered
 	Stopped
 )
 
 func (p Phase) String() string {
-	return [...]string{"starting", "serving", "draining", "stopped"}[p]
+	return [...]string{"starting", "serving", "reloading", "draining", "stopped"}[p]
 }
 
+// Up tells that the program takes calls and has not been told to end.
+func (p Phase) Up() bool { return p == Serving || p == Reloading }
+
 // Life is the program's present phase.
 type Life struct {
 	mu    sync.Mutex
@@ -37,11 +42,12 @@
 	return l.phase
 }
 
-// Enter moves on to a later phase and tells whether it did; phases never come twice or go back.
+// Enter moves on to a later phase, or from Reloading back to Serving, and tells whether it did.
 func (l *Life) Enter(p Phase) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if p <= l.phase {
+	back := l.phase == Reloading && p == Serving
+	if p <= l.phase && !back || p == Reloading && l.phase != Serving {
 		return false
 	}
 	log.Printf("phase: %s -> %s", l.phase, p)
