Refuse unusable requests at the front, close idle clients, count a break once

Checked with a temporary trace of the module, one line a worker and second: most refused consulta had no attempt at all ("consulta:90" in one second), with 4 of 6 workers barred from the class by bad["consulta"] 0.5 to 0.8 for up to ten seconds, their trials overdue by 3 s since the same bar stopped them. Classes such as consulta_x, reservas and consulta-old stood in the list of failing classes: 735 to 1208 requests of bad clients came to workers. Requests ended by "0 notokens" and "5 notokens": the allowance for repeats went on those and on breaks.

At fault: parse in front/resp (unknown classes and tenants, no id, any number); listener in guard.go, which closed every newcomer when full, and nothing that closed the others; onOutcome in rules.go, where each request of one broken connection moved w.bad by 0.2 and made the worker suspect, and where a request taken back after 1 ms did so too.

Now: what a worker could not use fails at the front, also the id of an open request; deadlines of 2.5 s for a first request and a half-sent one, 5 s of idleness; when full, the oldest silent or longest idle connection makes room; repeated log lines are limited. In the module one break counts once, and a break alone makes nobody suspect; a bar for one class rests on more requests and fades sooner.

--- a/cmd/kitefall/main.go
+++ b/cmd/kitefall/main.go
@@ -95,7 +95,7 @@
 		}
 		return phases.Phase().Up()
 	}
-	front := &resp.Server{Core: core, Ready: ready, Advise: conf.Settings.RetryAfter}
+	front := &resp.Server{Core: core, Ready: ready, Settings: conf.Settings, Patience: resp.Usual}
 	go func() { failed <- front.Serve(ln, conf.ClientConnections()) }()
 	log.Printf("%s listens on %s", conf.Name, conf.Listen)
 	go func() {
--- a/cmd/kitefall/main_test.go
+++ b/cmd/kitefall/main_test.go
@@ -86,8 +86,8 @@
 	ended := make(chan error, 1)
 	go func() { ended <- run(path, invokeFile) }()
 	connect := func() net.Conn { return connect(t, addr) }
-	ask := func(c net.Conn, body string) {
-		fields := "id=1,wait=4000,key=7f3a9c21e0b4d655"
+	ask := func(c net.Conn, id, body string) {
+		fields := "id=" + id + ",wait=4000,key=7f3a9c21e0b4d655"
 		fmt.Fprintf(c, "*5\r\n$4\r\nCALL\r\n$1\r\n1\r\n$7\r\nreserva\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n", len(fields), fields,
 			len(body), body)
 	}
@@ -96,11 +96,11 @@
 	require.NoError(t, err)
 	none.Body.Close()
 	assert.Equal(t, 404, none.StatusCode, "the invoke front is up before the platform's")
-	ask(before, "open")
+	ask(before, "9b1f03aa5c7e2d41", "open")
 	open := w.Next()
 	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
 	after := connect()
-	ask(after, "new")
+	ask(after, "9b1f03aa5c7e2d42", "new")
 	w.Next().OK("done")
 	open.OK("done")
 	for _, c := range []net.Conn{before, after} {
--- a/internal/front/resp/guard.go
+++ b/internal/front/resp/guard.go
@@ -3,7 +3,8 @@
 import (
 	"errors"
 	"net"
-	"sync"
+	"sync/atomic"
+	"time"
 )
 
 // The bounds of a request: words in it, digits of a length, bytes of a word.
@@ -20,6 +21,13 @@
 // a line without either is taken for a command. A guarded connection ends with an error instead.
 type guard struct {
 	net.Conn
+	server   *Server
+	accepted time.Time
+	begun    atomic.Int64 // when the message that is not whole yet began, in Unix nanoseconds; 0: none is
+	client   *client      // from the first request on, guarded by the server's mu
+	closed   bool         // guarded by the server's mu
+
+	// The rest is the reader's.
 	head   bool // reading a count or a length
 	mark   byte // '*' or '$'
 	digits int
@@ -33,6 +41,11 @@
 	if !g.pass(p[:n]) {
 		return 0, errRequest
 	}
+	if between := !g.head && g.words == 0 && g.skip == 0; between {
+		g.begun.Store(0)
+	} else if g.begun.Load() == 0 {
+		g.begun.Store(time.Now().UnixNano())
+	}
 	return n, err
 }
 
@@ -76,10 +89,87 @@
 	return true
 }
 
+// Close closes the connection and makes room for another.
+func (g *guard) Close() error {
+	g.server.mu.Lock()
+	g.closed = true
+	delete(g.server.conns, g)
+	g.server.mu.Unlock()
+	return g.Conn.Close()
+}
+
+// overdue tells whether the client has let one of its deadlines go by. What it owes no message is not asked of a
+// connection with requests open: closing it would lose their answers.
+func (g *guard) overdue(now time.Time) bool {
+	p := &g.server.Patience
+	if g.client == nil { // connects and says nothing, or never comes to an end
+		return g.server.done || now.After(g.accepted.Add(p.First))
+	}
+	since, idle := g.client.idleSince()
+	if g.server.done { // accepted while the program was told to end
+		return idle
+	}
+	if begun := g.begun.Load(); begun != 0 && now.After(time.Unix(0, begun).Add(p.Message)) {
+		return idle // half a message, and nothing after it
+	}
+	return idle && now.After(since.Add(p.Idle)) // asked once, and keeps its connection for good
+}
+
+// sweep closes the connections that are overdue.
+func (s *Server) sweep(now time.Time) {
+	var late []*guard
+	s.mu.Lock()
+	for g := range s.conns {
+		if g.overdue(now) {
+			late = append(late, g)
+		}
+	}
+	s.mu.Unlock()
+	for _, g := range late {
+		g.leave()
+	}
+}
+
+// leave closes the connection unless a request has come meanwhile, and tells whether it did.
+func (g *guard) leave() bool {
+	g.server.mu.Lock()
+	c := g.client
+	g.closed = g.closed || c == nil // a first request that crosses this is not taken any more
+	g.server.mu.Unlock()
+	if c == nil {
+		g.Close()
+		return true
+	}
+	return c.endIfIdle()
+}
+
+// longestIdle is the connection whose end costs least: the oldest of those that never sent a whole request, else
+// the one idle longest; nil if all have something open.
+func (s *Server) longestIdle() *guard {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var best *guard
+	var least time.Time
+	for g := range s.conns {
+		since, idle := g.accepted, true
+		if g.client != nil {
+			since, idle = g.client.idleSince()
+		}
+		if !idle || best != nil && best.client == nil && g.client != nil {
+			continue
+		}
+		if best == nil || best.client != nil && g.client == nil || since.Before(least) {
+			best, least = g, since
+		}
+	}
+	return best
+}
+
 // listener guards the connections that it accepts, and holds at most so many at a time.
 type listener struct {
 	net.Listener
-	room chan struct{}
+	server *Server
+	most   int
 }
 
 func (l listener) Accept() (net.Conn, error) {
@@ -88,22 +178,30 @@
 		if err != nil {
 			return nil, err
 		}
-		select {
-		case l.room <- struct{}{}:
-			return &guard{Conn: &counted{Conn: c, room: l.room}}, nil
-		default: // the descriptors left are for the workers: without them no open call could end well
+		// The descriptors left are for the workers: without them no open call could end well. Whoever connects
+		// and stays must not keep the next ones out, so the connection idle longest makes room.
+		for l.full() {
+			g := l.server.longestIdle()
+			if g == nil {
+				break
+			}
+			g.leave()
+		}
+		if l.full() {
+			l.server.turned.Printf("front: turned %s away: all %d connections have requests open", c.RemoteAddr(), l.most)
 			c.Close()
+			continue
 		}
+		g := &guard{Conn: c, server: l.server, accepted: time.Now()}
+		l.server.mu.Lock()
+		l.server.conns[g] = true
+		l.server.mu.Unlock()
+		return g, nil
 	}
 }
 
-type counted struct {
-	net.Conn
-	room chan struct{}
-	once sync.Once
-}
-
-func (c *counted) Close() error {
-	c.once.Do(func() { <-c.room })
-	return c.Conn.Close()
+func (l listener) full() bool {
+	l.server.mu.Lock()
+	defer l.server.mu.Unlock()
+	return len(l.server.conns) >= l.most
 }
--- a/internal/front/resp/resp.go
+++ b/internal/front/resp/resp.go
@@ -5,8 +5,9 @@
 import (
 	"errors"
 	"fmt"
-	"log"
+	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,13 +17,17 @@
 
 	"kitefall/internal/call"
 	"kitefall/internal/dispatch"
+	"kitefall/internal/quiet"
+	"kitefall/rules"
 )
 
 const (
-	mostOpen = 32       // requests on one connection
-	mostBody = 16 << 10 // bytes of a request's body
-	queued   = 2 * mostOpen
-	mostWait = 600_000 // milliseconds
+	mostOpen   = 32       // requests on one connection
+	mostBody   = 16 << 10 // bytes of a request's body
+	queued     = 2 * mostOpen
+	mostWait   = 600_000 // milliseconds, of any time that is told
+	mostLanes  = 1 << 10
+	mostMemory = 1 << 20 // MB
 )
 
 // The words of answers.
@@ -34,35 +39,64 @@
 	wordNo      = "no"
 )
 
+// Patience is how long a client may take. Owed by then is an answer or a close, 3 s after it has connected.
+type Patience struct {
+	First   time.Duration // from the accept to the end of its first request
+	Message time.Duration // from the first byte of a request to its last
+	Idle    time.Duration // with nothing open; usual clients close by themselves after 4 s
+}
+
+// Usual is the patience with clients in service.
+var Usual = Patience{First: 2500 * time.Millisecond, Message: 2500 * time.Millisecond, Idle: 5 * time.Second}
+
 // Server answers clients on one address.
 type Server struct {
-	Core  *dispatch.Core
-	Ready func() bool // what CHECK answers
-	// Advise adds to refusals when to come back. Without it clients are not told: the settings forbid it.
-	Advise bool
+	Core     *dispatch.Core
+	Ready    func() bool // what CHECK answers
+	Settings rules.Settings
+	Patience Patience
 
-	server *redcon.Server
-	mu     sync.Mutex
-	conns  map[*client]bool
-	done   bool
+	turned, broke, failed *quiet.Line
+
+	mu    sync.Mutex
+	conns map[*guard]bool
+	done  bool
+
+	idMu sync.Mutex
+	ids  map[uint64]bool // of the open requests of all clients
 }
 
 // Serve answers on ln, at most so many connections at a time, until ln is closed.
 func (s *Server) Serve(ln net.Listener, connections int) error {
 	s.mu.Lock()
-	s.conns = map[*client]bool{}
+	s.conns, s.ids = map[*guard]bool{}, map[uint64]bool{}
+	s.turned, s.broke, s.failed = quiet.NewLine(), quiet.NewLine(), quiet.NewLine()
 	s.mu.Unlock()
-	s.server = redcon.NewServer(ln.Addr().String(), s.first, nil, nil)
-	return s.server.Serve(listener{Listener: ln, room: make(chan struct{}, connections)})
+	tick, ended := time.NewTicker(max(s.Patience.First/10, time.Millisecond)), make(chan struct{})
+	defer close(ended)
+	go func() {
+		defer tick.Stop()
+		for alive := true; alive || s.Clients() > 0; {
+			select {
+			case now := <-tick.C:
+				s.sweep(now)
+			case <-ended: // the listener; what it has accepted is looked after to the end
+				alive, ended = false, nil
+			}
+		}
+	}()
+	return redcon.NewServer(ln.Addr().String(), s.first, nil, nil).Serve(
+		listener{Listener: ln, server: s, most: connections})
 }
 
 // Finish closes each connection once its last answer is written, and those with nothing open now.
 func (s *Server) Finish() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.done = true
-	for c := range s.conns {
-		c.leaveIfIdle()
+	open := slices.Collect(maps.Keys(s.conns))
+	s.mu.Unlock()
+	for _, g := range open {
+		g.leave()
 	}
 }
 
@@ -76,16 +110,38 @@
 // first takes a connection away from redcon at its first request: redcon answers in the order of the
 // requests, and here an answer may come long after those to later requests.
 func (s *Server) first(rc redcon.Conn, cmd redcon.Command) {
-	c := &client{server: s, net: rc.NetConn(), tags: map[uint64]*pending{}, out: make(chan answer, queued),
-		quit: make(chan struct{})}
+	g := rc.NetConn().(*guard)
+	c := &client{server: s, net: g, tags: map[uint64]*pending{}, out: make(chan answer, queued),
+		quit: make(chan struct{}), last: time.Now()}
 	c.conn = rc.Detach()
 	s.mu.Lock()
-	s.conns[c] = true
+	closed := g.closed
+	g.client = c
 	s.mu.Unlock()
+	if closed { // it was given up before its first request had come whole
+		return
+	}
 	go c.write()
 	go c.read(cmd)
 }
 
+// claim tells whether no open request has the id, and notes it.
+func (s *Server) claim(id uint64) bool {
+	s.idMu.Lock()
+	defer s.idMu.Unlock()
+	if s.ids[id] {
+		return false
+	}
+	s.ids[id] = true
+	return true
+}
+
+func (s *Server) release(id uint64) {
+	s.idMu.Lock()
+	defer s.idMu.Unlock()
+	delete(s.ids, id)
+}
+
 // client is one connection: one goroutine reads, one writes.
 type client struct {
 	server *Server
@@ -98,9 +154,19 @@
 	tags   map[uint64]*pending // open requests
 	unsent int                 // answers that are not written yet
 	closed bool
+	last   time.Time // when it last asked or was answered
 }
 
-type pending struct{ handle *dispatch.Handle }
+type pending struct {
+	id     uint64
+	handle *dispatch.Handle
+}
+
+var (
+	errClosed = errors.New("closed before the request was taken")
+	errTwice  = errors.New("its id is that of an open request")
+	errFull   = fmt.Errorf("%d requests are open on its connection", mostOpen)
+)
 
 type answer struct {
 	tag    uint64
@@ -118,7 +184,7 @@
 		}
 	}
 	if errors.Is(err, errRequest) {
-		log.Printf("front: closed %s: %v", c.net.RemoteAddr(), err)
+		c.server.broke.Printf("front: closed %s: %v", c.net.RemoteAddr(), err)
 	}
 	c.end()
 }
@@ -150,21 +216,29 @@
 }
 
 func (c *client) call(tag uint64, args [][]byte) error {
-	now := time.Now()
-	k, err := parse(args, now)
+	k, err := c.server.parse(args, time.Now())
+	p := &pending{id: k.ID}
 	c.mu.Lock()
+	c.last = time.Now()
 	_, twice := c.tags[tag]
-	full := len(c.tags) >= mostOpen
-	p := &pending{}
-	if err == nil && !full && !twice {
+	switch {
+	case c.closed: // the client sends it again elsewhere: run here too, it could run twice
+		c.mu.Unlock()
+		return errClosed
+	case twice: // whichever answer came, it could be taken for that of the other request
+		c.mu.Unlock()
+		return fmt.Errorf("%w: tag %d is open already", errRequest, tag)
+	case err != nil:
+	case len(c.tags) >= mostOpen:
+		err = errFull
+	case !c.server.claim(k.ID): // the worker would take it for the other request, and its answer for the other's
+		err = errTwice
+	default:
 		c.tags[tag] = p
 	}
 	c.mu.Unlock()
-	if twice { // whichever answer came, it could be taken for that of the other request
-		return fmt.Errorf("%w: tag %d is open already", errRequest, tag)
-	}
-	if err != nil || full {
-		log.Printf("front: request %d of %s failed: open on it: %t; %v", tag, c.net.RemoteAddr(), full, err)
+	if err != nil {
+		c.server.failed.Printf("front: request %d of %s failed: %v", tag, c.net.RemoteAddr(), err)
 		c.reply(tag, wordFailed)
 		return nil
 	}
@@ -172,7 +246,7 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if c.tags[tag] == p { // else it was cancelled, and nothing is owed
-			delete(c.tags, tag)
+			c.settle(tag, p)
 			c.put(c.server.wording(tag, a, k.Deadline))
 		}
 	}
@@ -183,10 +257,20 @@
 	}
 	c.mu.Lock()
 	p.handle = h
+	gone := c.tags[tag] != p && c.closed // its connection ended while it was handed in
 	c.mu.Unlock()
+	if gone {
+		h.GiveUp()
+	}
 	return nil
 }
 
+// settle ends a request, with c locked.
+func (c *client) settle(tag uint64, p *pending) {
+	delete(c.tags, tag)
+	c.server.release(p.id)
+}
+
 func (s *Server) wording(tag uint64, a call.Answer, by time.Time) answer {
 	out := answer{tag: tag, by: by.Add(time.Second)}
 	switch a.Outcome {
@@ -194,7 +278,7 @@
 		out.word, out.body = wordServed, a.Body
 	case call.Refused:
 		out.word = wordRefused
-		if s.Advise && a.RetryAfter > 0 {
+		if s.Settings.RetryAfter && a.RetryAfter > 0 {
 			out.fields = "after=" + strconv.FormatInt(a.RetryAfter.Milliseconds(), 10)
 		}
 	default:
@@ -206,7 +290,10 @@
 func (c *client) cancel(tag uint64) {
 	c.mu.Lock()
 	p := c.tags[tag]
-	delete(c.tags, tag)
+	if p != nil {
+		c.settle(tag, p)
+		c.last = time.Now()
+	}
 	c.mu.Unlock()
 	if p != nil && p.handle != nil {
 		p.handle.GiveUp()
@@ -252,33 +339,51 @@
 			c.end()
 		}
 		c.mu.Lock()
-		c.unsent -= written
+		c.unsent, c.last = c.unsent-written, time.Now()
 		c.mu.Unlock()
 		written = 0
 		c.server.leave(c)
 	}
 }
 
+// leave closes the connection of a client with nothing open, once the server is finishing.
 func (s *Server) leave(c *client) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.done {
-		c.leaveIfIdle()
+	done := s.done
+	s.mu.Unlock()
+	if done {
+		c.endIfIdle()
 	}
 }
 
-func (c *client) leaveIfIdle() {
+// idleSince tells whether nothing is open, and when the client last asked or was answered.
+func (c *client) idleSince() (time.Time, bool) {
 	c.mu.Lock()
-	idle := len(c.tags) == 0 && c.unsent == 0
-	c.mu.Unlock()
-	if idle {
-		go c.end()
+	defer c.mu.Unlock()
+	return c.last, c.idle()
+}
+
+func (c *client) idle() bool { return len(c.tags) == 0 && c.unsent == 0 }
+
+// endIfIdle closes the connection if nothing is open on it, and tells whether it is closed.
+func (c *client) endIfIdle() bool {
+	c.mu.Lock()
+	if !c.closed && !c.idle() {
+		c.mu.Unlock()
+		return false
 	}
+	c.finish()
+	return true
 }
 
 // end closes the connection and gives up what is open on it.
 func (c *client) end() {
 	c.mu.Lock()
+	c.finish()
+}
+
+// finish does so once. It takes over the lock of c.
+func (c *client) finish() {
 	if c.closed {
 		c.mu.Unlock()
 		return
@@ -286,41 +391,43 @@
 	c.closed = true
 	close(c.quit)
 	var open []*dispatch.Handle
-	for _, p := range c.tags {
+	for tag, p := range c.tags {
 		if p.handle != nil {
 			open = append(open, p.handle)
 		}
+		c.settle(tag, p)
 	}
-	c.tags = map[uint64]*pending{}
 	c.mu.Unlock()
 	c.net.Close()
 	for _, h := range open {
 		h.GiveUp()
 	}
-	c.server.mu.Lock()
-	delete(c.server.conns, c)
-	c.server.mu.Unlock()
 }
 
-// parse makes a call of the words after the tag: class, fields, body.
-func parse(args [][]byte, now time.Time) (*call.Call, error) {
-	if len(args) < 2 || len(args) > 3 || len(args[0]) == 0 {
-		return nil, errors.New("words are missing")
+// parse makes a call of the words after the tag: class, fields, body. Whatever a worker or the module could not
+// use ends here: a worker answers it with an error, and that would count against the worker.
+func (s *Server) parse(args [][]byte, now time.Time) (*call.Call, error) {
+	k := &call.Call{}
+	if len(args) < 2 || len(args) > 3 {
+		return k, fmt.Errorf("%d words", len(args))
 	}
-	k := &call.Call{Class: string(args[0])}
+	k.Class = string(args[0])
 	if len(args) == 3 {
 		k.Body = args[2]
 	}
 	if len(k.Body) > mostBody {
-		return nil, fmt.Errorf("%d bytes of body", len(k.Body))
+		return k, fmt.Errorf("%d bytes of body", len(k.Body))
 	}
-	wait := int64(0)
+	wait, id := 0.0, ""
 	err := pairs(string(args[1]), ",", "=", func(name, value string) (err error) {
 		switch name {
 		case "id":
+			if id = value; !hex16(value) {
+				return fmt.Errorf("id %q", value)
+			}
 			k.ID, err = strconv.ParseUint(value, 16, 64)
 		case "wait":
-			wait, err = strconv.ParseInt(value, 10, 64)
+			wait, err = number(value, 1, mostWait)
 		case "tenant":
 			k.Tenant = value
 		case "key":
@@ -332,19 +439,28 @@
 		}
 		return err
 	})
-	if err == nil && (k.Function == "" || strings.ContainsAny(k.Class, ",=") || wait <= 0 || wait > mostWait) {
-		err = fmt.Errorf("class %q, key %q, wait %d", k.Class, k.Function, wait)
+	switch {
+	case err != nil:
+	case id == "" || wait == 0 || !hex16(k.Function):
+		err = fmt.Errorf("id %q, wait %v, key %q", id, wait, k.Function)
+	case !slices.ContainsFunc(s.Settings.Classes, func(c rules.Class) bool { return c.Name == k.Class }):
+		err = fmt.Errorf("no class %q", k.Class)
+	case len(s.Settings.Tenants) > 0 &&
+		!slices.ContainsFunc(s.Settings.Tenants, func(t rules.Tenant) bool { return t.Name == k.Tenant }):
+		err = fmt.Errorf("no tenant %q", k.Tenant)
 	}
-	k.Deadline = now.Add(time.Duration(wait) * time.Millisecond)
+	k.Deadline = now.Add(time.Duration(wait * float64(time.Millisecond)))
 	return k, err
 }
 
 func figure(k *call.Call, name, value string) (err error) {
 	switch name {
 	case "memory_mb":
-		k.Memory, err = strconv.ParseFloat(value, 64)
+		k.Memory, err = number(value, 0, mostMemory)
 	case "lanes":
-		k.Lanes, err = strconv.Atoi(value)
+		lanes := 0.0
+		lanes, err = number(value, 1, mostLanes)
+		k.Lanes = int(lanes)
 	case "load_ms":
 		k.LoadTime, err = milliseconds(value)
 	}
@@ -352,16 +468,34 @@
 }
 
 func milliseconds(text string) (time.Duration, error) {
-	ms, err := strconv.ParseFloat(text, 64)
+	ms, err := number(text, 0, mostWait)
 	return time.Duration(ms * float64(time.Millisecond)), err
 }
 
+// number reads a figure within bounds. What is not a number is within none.
+func number(text string, least, most float64) (float64, error) {
+	n, err := strconv.ParseFloat(text, 64)
+	if err == nil && !(n >= least && n <= most) {
+		err = fmt.Errorf("figure %q", text)
+	}
+	return n, err
+}
+
+func hex16(text string) bool {
+	return len(text) == 16 && strings.Trim(text, "0123456789abcdefABCDEF") == ""
+}
+
+// pairs reads a list of names and values, each name once.
 func pairs(text, between, is string, each func(name, value string) error) error {
+	seen := map[string]bool{}
 	for _, part := range strings.Split(text, between) {
-		if name, value, ok := strings.Cut(part, is); ok {
-			if err := each(name, value); err != nil {
-				return err
-			}
+		name, value, ok := strings.Cut(part, is)
+		if !ok || seen[name] {
+			return fmt.Errorf("field %q", part)
+		}
+		seen[name] = true
+		if err := each(name, value); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/internal/front/resp/resp_test.go
+++ b/internal/front/resp/resp_test.go
@@ -14,6 +14,7 @@
 
 	"kitefall/internal/front/resp"
 	"kitefall/internal/standin"
+	"kitefall/rules"
 )
 
 type client struct {
@@ -29,13 +30,18 @@
 }
 
 func serve(t *testing.T, workers ...*standin.Worker) (*resp.Server, func() *client) {
+	return serveMost(t, 64, resp.Usual, workers...)
+}
+
+func serveMost(t *testing.T, most int, p resp.Patience, workers ...*standin.Worker) (*resp.Server, func() *client) {
 	core := standin.NewCore(t, workers...)
 	t.Cleanup(core.Stop)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { ln.Close() })
-	s := &resp.Server{Core: core, Ready: core.Known}
-	go s.Serve(ln, 64)
+	s := &resp.Server{Core: core, Ready: core.Known, Settings: standin.Settings(), Patience: p}
+	s.Settings.Tenants = []rules.Tenant{{Name: "acme"}}
+	go s.Serve(ln, most)
 	return s, func() *client {
 		c, err := net.Dial("tcp", ln.Addr().String())
 		require.NoError(t, err)
@@ -156,7 +162,7 @@
 func TestSilenceEndsAtTheDeadline(t *testing.T) {
 	w := standin.NewWorker(t)
 	c := dispatcher(t, w)()
-	c.say("CALL", "1", "reserva", "id=9b1f03aa5c7e2d41,wait=200,key=7f3a9c21e0b4d655", "book")
+	c.say("CALL", "1", "reserva", "id=9b1f03aa5c7e2d41,wait=200,tenant=acme,key=7f3a9c21e0b4d655", "book")
 	k := w.Next()
 	assert.Equal(t, "1 fault  ", c.hear())
 	assert.Equal(t, k.ID, <-w.Gone)
@@ -175,14 +181,30 @@
 	assert.ErrorIs(t, err, io.EOF)
 }
 
+// What a worker could not use must not reach one: its error would be held against it. None of these is answered
+// by anyone but the front.
 func TestBadRequests(t *testing.T) {
-	connect := dispatcher(t, standin.NewWorker(t))
+	w := standin.NewWorker(t)
+	connect := dispatcher(t, w)
 	c := connect()
-	for tag, fields := range map[string]string{"1": "id=xyz,wait=10,key=aa", "2": "id=1,key=aa", "3": "id=1,wait=10",
-		"4": "id=1,wait=10,key=aa,cost=much"} {
-		c.say("CALL", tag, "consulta", fields, "")
-		assert.Equal(t, tag+" fault  ", c.hear())
+	const id, key, rest = "id=9b1f03aa5c7e2d41,", "key=7f3a9c21e0b4d655", ",wait=1000,tenant=acme"
+	for i, words := range [][2]string{{"consulta", key + rest}, {"consulta", "id=xyz," + key + rest},
+		{"consulta", "id=1," + key + rest}, {"consulta", id + id + key + rest}, {"consulta", id + "key=aa" + rest},
+		{"consulta", id + "key=7f3a9c21e0b4d65g" + rest}, {"consulta", id + rest[1:]},
+		{"consulta", id + key + ",wait=-1,tenant=acme"}, {"consulta", id + key + ",wait=NaN,tenant=acme"},
+		{"consulta", id + key + ",wait=1e300,tenant=acme"}, {"consulta", id + key + ",tenant=acme"},
+		{"consulta", id + key + ",wait=1000,tenant=nobody"}, {"nothing", id + key + rest}, {"", id + key + rest},
+		{"consulta", id + key + rest + ",cost=NaN"}, {"consulta", id + key + rest + ",cost=-3"},
+		{"consulta", id + key + rest + ",cost=much"}, {"consulta", id + key + rest + ",spec=memory_mb:+Inf"},
+		{"consulta", id + key + rest + ",spec=lanes:0"}, {"consulta", id + key + rest + ",spec=load_ms:-1e9"},
+		{"consulta", id + key + rest + ",spec=lanes"}, {"consulta", ""}} {
+		tag := strconv.Itoa(i + 10)
+		c.say("CALL", tag, words[0], words[1], "")
+		assert.Equal(t, tag+" fault  ", c.hear(), "%q", words)
 	}
+	c.call(1, "consulta", "good") // the next call that the worker sees
+	w.Next().OK("done")
+	assert.Equal(t, "1 ok  done", c.hear())
 	c.say("SING", "5")
 	assert.Equal(t, "5 fault  ", c.hear())
 	// Without the guard the first of these keeps redcon in a loop, the second grows its buffer, the third is a
@@ -200,3 +222,65 @@
 	c.say("CHECK", "1", "")
 	assert.Equal(t, "1 yes  ", c.hear())
 }
+
+// Two open requests under one id: a worker would take them for one, and its answer could go to either.
+func TestIDOfAnOpenRequestIsNotTakenTwice(t *testing.T) {
+	w := standin.NewWorker(t)
+	connect := dispatcher(t, w)
+	c, other := connect(), connect()
+	c.call(1, "reserva", "mine")
+	k := w.Next()
+	other.call(1, "reserva", "theirs")
+	assert.Equal(t, "1 fault  ", other.hear())
+	k.OK("done")
+	assert.Equal(t, "1 ok  done", c.hear())
+	other.call(1, "reserva", "later")
+	w.Next().OK("done")
+	assert.Equal(t, "1 ok  done", other.hear())
+}
+
+// Who connects and says nothing, stops within a request, or asked once and stays, holds its descriptor no longer
+// than a deadline; who waits for an answer is not cut off by any of them.
+func TestConnectionsThatOnlyStayAreClosed(t *testing.T) {
+	w := standin.NewWorker(t)
+	_, connect := serveMost(t, 64, resp.Patience{First: 50e6, Message: 50e6, Idle: 50e6}, w)
+	waits := connect()
+	waits.call(1, "reserva", "book")
+	k := w.Next()
+	silent, half, stays := connect(), connect(), connect()
+	half.say("CHECK", "1", "")
+	half.hear()
+	_, err := io.WriteString(half, "*3\r\n$4\r\nCA")
+	require.NoError(t, err)
+	stays.say("CHECK", "1", "")
+	stays.hear()
+	for _, c := range []*client{silent, half, stays} {
+		_, err := c.r.ReadByte()
+		assert.ErrorIs(t, err, io.EOF)
+	}
+	k.OK("done")
+	assert.Equal(t, "1 ok  done", waits.hear())
+}
+
+// With all connections taken, the next one is let in for one that has nothing open, silent ones first.
+func TestNewcomersTakeThePlaceOfTheIdle(t *testing.T) {
+	w := standin.NewWorker(t)
+	_, connect := serveMost(t, 3, resp.Usual, w)
+	busy, idle := connect(), connect()
+	busy.call(1, "reserva", "book")
+	k := w.Next()
+	idle.say("CHECK", "1", "")
+	idle.hear()
+	silent := connect()
+	for i, out := range []*client{silent, idle} {
+		next := connect()
+		_, err := out.r.ReadByte()
+		assert.ErrorIs(t, err, io.EOF)
+		next.call(2+i, "reserva", "next")
+		w.Next()
+	}
+	_, err := connect().r.ReadByte()
+	assert.ErrorIs(t, err, io.EOF, "all have requests open")
+	k.OK("done")
+	assert.Equal(t, "1 ok  done", busy.hear())
+}
--- /dev/null
+++ b/internal/quiet/quiet.go
@@ -0,0 +1,32 @@
+// Package quiet keeps lines that others can cause at will from filling the log.
+package quiet
+
+import (
+	"fmt"
+	"log"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Line is one kind of log line: the first few are written, then one every few seconds, with the number left out.
+type Line struct {
+	some    rate.Sometimes
+	skipped atomic.Int64
+}
+
+// NewLine returns a kind of line that has not been written yet.
+func NewLine() *Line { return &Line{some: rate.Sometimes{First: 5, Interval: 5 * time.Second}} }
+
+// Printf writes the line, or counts it.
+func (l *Line) Printf(format string, args ...any) {
+	l.skipped.Add(1)
+	l.some.Do(func() {
+		text := fmt.Sprintf(format, args...)
+		if n := l.skipped.Swap(0) - 1; n > 0 {
+			text += fmt.Sprintf(" (and %d more like it)", n)
+		}
+		log.Print(text)
+	})
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -191,7 +191,7 @@
 			b.warmSize += w.size
 		}
 		for c := range w.bad {
-			w.bad[c] *= 1 - smooth/4 // a second chance comes by itself
+			w.bad[c] *= 1 - smooth/2 // a second chance comes by itself, and soon
 		}
 	}
 	var ranked []*function
@@ -326,7 +326,9 @@
 		if took > usual*smooth { // less: it stood already
 			f.loadTime += (took - usual) * smooth
 		}
-	} else if p.avoid = b.now + sec(usual); e.Status == Reset || e.Status == ConnectFailed {
+	} else if p.avoid = b.now + sec(usual); e.Status == Reset {
+		b.broken(w)
+	} else if e.Status == ConnectFailed {
 		b.suspect(w, true)
 	}
 	if (e.Status != OK || took > loadSlow*usual) && b.now-b.shrunk > sec(usual/2) {
@@ -695,8 +697,10 @@
 	if e.Status == TimedOut || e.Status == Failed || e.Status == Reset {
 		bad = 1
 	}
-	w.bad[class] += (bad - w.bad[class]) * 2 * smooth
-	b.bad[class] += (bad - b.bad[class]) * smooth / 4
+	if e.Status != Reset || b.broken(w) {
+		w.bad[class] += (bad - w.bad[class]) * smooth
+		b.bad[class] += (bad - b.bad[class]) * smooth / 10
+	}
 	a.maybe = e.Status != Full && e.Status != Miss && e.Status != ConnectFailed && e.Status != Moot
 	switch e.Status {
 	case OK:
@@ -719,10 +723,10 @@
 		} else if r.f.hot && r.f.size > 1 {
 			b.order(r.f, p, 1, b.window)
 		}
-	case ConnectFailed, Reset:
+	case ConnectFailed:
 		b.suspect(w, true)
-	case TimedOut, Cancelled:
-		if b.now-w.heard > e.Took {
+	case TimedOut, Cancelled: // a client that soon takes its request back says nothing of the worker
+		if b.now-w.heard > e.Took && e.Took >= sec(silentAfter*b.answer) {
 			b.doubt(w)
 		}
 	}
@@ -753,6 +757,20 @@
 	w.trialAt = b.now + w.backoff
 }
 
+// broken notes that a connection to a worker broke, and tells whether that is news: one break ends all that
+// was open there. A break alone says little, any peer may spoil an answer or cut a connection. A process that
+// has died refuses the next one, and a worker is suspect that breaks again before it has answered.
+func (b *Balancer) broken(w *worker) bool {
+	if b.now-w.broke < sweepEvery && w.broke > 0 {
+		return false
+	}
+	if w.broke > w.heard {
+		b.suspect(w, true)
+	}
+	w.broke = b.now
+	return true
+}
+
 func (b *Balancer) alive(w *worker) { w.heard, w.suspect, w.mute, w.backoff = b.now, false, false, 0 }
 
 // doubt answers silence: where own calls are few, one slow call proves nothing, and the worker is asked.
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -448,3 +448,45 @@
 		t.Errorf("emitted %v, %d attempts", f.b.did, len(r.attempts))
 	}
 }
+
+// Guards against what bad peers do: one spoilt answer ends its connection and with it everything open there. Counted
+// for each request, one such break left a good worker out of turn for seconds, and peers spoil answers of all alike.
+func TestOneBreakIsOneSign(t *testing.T) {
+	f := newFleet(t, testSettings(), 1)
+	f.list(1)
+	home := f.served("unsafe", "fn")
+	w := f.b.workers[home]
+	breaks := func() {
+		f.to(f.now + 50*ms)
+		var open []RequestID
+		for range 2 {
+			open = append(open, f.request("unsafe", "fn", time.Second))
+		}
+		for _, id := range open {
+			f.outcome(id, 0, Reset)
+		}
+	}
+	breaks()
+	if w.suspect || w.bad["unsafe"] > badOver {
+		t.Errorf("left out for one break: suspect %t, bad %v", w.suspect, w.bad)
+	}
+	breaks() // and nothing was heard from it in between
+	if !w.suspect {
+		t.Error("not suspect, though it breaks every connection")
+	}
+}
+
+// Guards against clients that take requests back at once, by hundreds: no worker could have answered by then.
+func TestRequestTakenBackAtOnceSaysNothing(t *testing.T) {
+	f := newFleet(t, testSettings(), 1)
+	f.list(2)
+	home := f.served("safe", "fn")
+	f.to(f.now + 50*ms)
+	id := f.request("safe", "fn", time.Second)
+	f.to(f.now + ms)
+	f.event(GoneEvent{ID: id})
+	f.outcome(id, 0, Cancelled)
+	if f.b.workers[home].suspect {
+		t.Error("suspect after 1 ms of silence")
+	}
+}
