Give calls connections of their own, bound a begun frame, forget gone workers

Checked by tests against scripted peers: a frame that stops short held its connection until the calls' own deadlines; a second copy of a miss ended the next call of that id on the same connection; an unknown id ahead of a good answer did no harm already. Read: links, addrs and timers in the core were never dropped (the log counted ever more workers).

At fault: pick, read and end in internal/worker/link.go; readFrame, which made room for a claimed length; onList and at in internal/dispatch/core.go.

Now: an idle connection first, else a new one, else the least loaded, within one budget for all links; 250 ms from the first byte of a frame to its last; ids that have ended on a connection stay off it for 10 s; what was not written whole moves to another connection once; links of workers that left go once nothing is open there; timers go with what they were for. Silence is judged by the whole link, since one connection now carries one call.

--- a/cmd/kitefall/main.go
+++ b/cmd/kitefall/main.go
@@ -63,10 +63,11 @@
 	phases := life.New()
 	debug.SetMemoryLimit(conf.MemoryLimit())
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(conf.Limits.Cores))))
+	one, all := conf.WorkerConnections()
 	core, err := dispatch.New(dispatch.Config{Settings: conf.Settings, Seed: conf.Seed, MostOpen: conf.MostOpen(),
 		MostHeld: conf.MostHeld(), Links: worker.Config{DialTimeout: conf.Settings.DialTimeout,
 			IdleClose: conf.Connections.IdleClose, DrainGrace: conf.Settings.DrainGrace,
-			Streams: conf.Connections.Streams, Connections: conf.WorkerConnections()}})
+			Streams: conf.Connections.Streams, Connections: one, Room: worker.NewRoom(all)}})
 	if err != nil {
 		return err
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,12 +16,12 @@
 
 // The shares of the limits.
 const (
-	clientShare  = 0.34 // of the descriptors: clients hold a third at most
-	workerShare  = 0.5  // ... the rest is for the board, the listener and what the runtime holds
-	memoryShare  = 0.75 // of the memory: what the collector keeps to; the rest is the kernel's and the program's own
-	bodiesShare  = 0.2  // of the memory: bodies of open calls
-	workersUsual = 32   // workers that the descriptors are shared out for
-	mostOpen     = 20000
+	clientShare = 0.34 // of the descriptors: clients hold a third at most
+	workerShare = 0.4  // ... the rest is for the board, the listener, what the runtime holds, and the first
+	workerMost  = 8    // connection to each worker, which is always allowed
+	memoryShare = 0.75 // of the memory: what the collector keeps to; the rest is the kernel's and the program's own
+	bodiesShare = 0.2  // of the memory: bodies of open calls
+	mostOpen    = 20000
 )
 
 // Config is the configuration of a dispatcher.
@@ -96,7 +96,7 @@
 // ClientConnections is how many connections of clients are held.
 func (c *Config) ClientConnections() int { return int(clientShare * float64(c.Limits.Sockets)) }
 
-// WorkerConnections is how many connections one worker may have.
-func (c *Config) WorkerConnections() int {
-	return max(1, int(workerShare*float64(c.Limits.Sockets))/workersUsual)
+// WorkerConnections is how many connections one worker may have, and all together.
+func (c *Config) WorkerConnections() (one, all int) {
+	return workerMost, int(workerShare * float64(c.Limits.Sockets))
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -49,13 +49,19 @@
 	now     time.Duration
 	last    rules.RequestID
 	calls   map[rules.RequestID]*open
-	links   map[rules.WorkerID]*worker.Link
-	addrs   map[rules.WorkerID]string
+	links   map[rules.WorkerID]*link
 	orders  map[orderKey]*order
 	timers  timers
 	backlog []rules.Event
 }
 
+// link is the way to a worker, and where that goes.
+type link struct {
+	*worker.Link
+	addr string
+	gone bool // the worker has left
+}
+
 // open is a call that is not answered, or has attempts out.
 type open struct {
 	*call.Call
@@ -64,6 +70,7 @@
 	out      int
 	closed   bool // answered, or given up by its client
 	marked   bool // MayRun has passed, or there is none
+	due      *timed
 }
 
 type attempt struct {
@@ -74,8 +81,9 @@
 	until  time.Time
 	over   bool
 	ran    bool // it may have run
-	link   *worker.Link
+	link   *link
 	job    *worker.Job // nil until the link has it
+	due    *timed
 }
 
 type orderKey struct {
@@ -87,7 +95,8 @@
 	orderKey
 	at   time.Time
 	job  *worker.Job
-	link *worker.Link
+	link *link
+	due  *timed
 }
 
 // New returns a core for the settings.
@@ -100,8 +109,8 @@
 	}
 	return &Core{config: c, module: m, queue: make(chan func(), queueSize), stop: make(chan struct{}),
 		ended: make(chan struct{}),
-		calls: map[rules.RequestID]*open{}, links: map[rules.WorkerID]*worker.Link{},
-		addrs: map[rules.WorkerID]string{}, orders: map[orderKey]*order{}}, nil
+		calls: map[rules.RequestID]*open{}, links: map[rules.WorkerID]*link{},
+		orders: map[orderKey]*order{}}, nil
 }
 
 // Known tells whether the list of workers is known.
@@ -176,7 +185,7 @@
 			return
 		}
 		for len(c.timers) > 0 && !time.Now().Before(c.timers[0].at) {
-			heap.Pop(&c.timers).(timed).do()
+			heap.Pop(&c.timers).(*timed).do()
 		}
 	}
 }
@@ -187,7 +196,19 @@
 	<-c.ended
 }
 
-func (c *Core) at(t time.Time, do func()) { heap.Push(&c.timers, timed{t, do}) }
+// at has the owner do something at a time.
+func (c *Core) at(t time.Time, do func()) *timed {
+	d := &timed{at: t, do: do}
+	heap.Push(&c.timers, d)
+	return d
+}
+
+// drop takes back what is not due any more. Left in place, it would hold its call, body and all, until then.
+func (c *Core) drop(d *timed) {
+	if d != nil && d.place >= 0 {
+		heap.Remove(&c.timers, d.place)
+	}
+}
 
 // feed gives the module an event and carries out what it answers. Events that come of that follow in turn.
 func (c *Core) feed(e rules.Event) {
@@ -240,7 +261,7 @@
 	c.calls[o.id] = o
 	s := &c.config.Settings
 	// Should the module ever stay silent, the core answers in its place, within the rules' slack.
-	c.at(k.Deadline.Add(time.Duration(answerBefore*float64(s.AnswerSlack))), func() {
+	o.due = c.at(k.Deadline.Add(time.Duration(answerBefore*float64(s.AnswerSlack))), func() {
 		if !o.closed {
 			log.Printf("core: call %016x had no answer of the module at its deadline", k.ID)
 			c.answer(o, call.Answer{Outcome: call.Failed})
@@ -266,6 +287,7 @@
 
 func (c *Core) close(o *open) {
 	o.closed = true
+	c.drop(o.due)
 	c.release(o.Call)
 	c.forget(o)
 }
@@ -327,7 +349,7 @@
 		return
 	}
 	t.link, t.job = l, job
-	c.at(t.until, func() { c.callOff(t, rules.TimedOut) })
+	t.due = c.at(t.until, func() { c.callOff(t, rules.TimedOut) })
 }
 
 // callOff ends the wait for an attempt from this side.
@@ -350,6 +372,7 @@
 	}
 	t.over, t.ran = true, !neverRan[r.Status]
 	t.out--
+	c.drop(t.due)
 	if r.Status == rules.OK {
 		c.answer(t.open, call.Answer{Outcome: call.Served, Body: r.Body})
 	}
@@ -375,7 +398,7 @@
 		return
 	}
 	o.job = job
-	c.at(until, func() {
+	o.due = c.at(until, func() {
 		if c.orders[o.orderKey] == o {
 			o.link.GiveUp(o.job)
 			c.loaded(o, worker.Result{Status: rules.TimedOut})
@@ -388,6 +411,7 @@
 		return // it has ended already
 	}
 	delete(c.orders, o.orderKey)
+	c.drop(o.due)
 	c.feed(rules.LoadedEvent{Worker: o.worker, Function: o.function, Status: r.Status, Took: time.Since(o.at),
 		Copies: r.Copies})
 }
@@ -398,45 +422,59 @@
 	for _, w := range l.Entries {
 		named[w.ID] = true
 		e.Workers = append(e.Workers, w.Worker)
-		if old := c.links[w.ID]; old == nil || c.addrs[w.ID] != w.Addr {
-			if old != nil { // it came back elsewhere; what is open there may still be answered
-				old.Drain(l.Told, true)
+		k := c.links[w.ID]
+		if k == nil || k.addr != w.Addr {
+			if k != nil { // it came back elsewhere; what is open there may still be answered
+				k.Drain(l.Told, true)
 			}
-			c.links[w.ID], c.addrs[w.ID] = worker.NewLink(string(w.ID), w.Addr, &c.config.Links), w.Addr
+			k = &link{Link: worker.NewLink(string(w.ID), w.Addr, &c.config.Links), addr: w.Addr}
+			c.links[w.ID] = k
 		}
+		k.gone = w.State == rules.Removed
 		if w.State == rules.Ready {
-			c.links[w.ID].Drain(time.Time{}, false)
+			k.Drain(time.Time{}, false)
 		} else {
-			c.links[w.ID].Drain(l.Told, w.State == rules.Removed)
+			k.Drain(l.Told, k.gone)
 		}
 	}
-	if l.Scope != rules.ListChange { // who is absent from a whole list is gone
-		for id, link := range c.links {
-			if !named[id] {
-				link.Drain(l.Told, true)
-			}
+	for id, k := range c.links {
+		if l.Scope != rules.ListChange && !named[id] { // who is absent from a whole list is gone
+			k.gone = true
+			k.Drain(l.Told, true)
+		}
+		if k.gone && k.Idle() { // the worker will not come back under this uid; else there would be ever more of them
+			delete(c.links, id)
 		}
 	}
-	log.Printf("board: list scope %d, %d entries, %d workers named so far", l.Scope, len(l.Entries), len(c.links))
+	log.Printf("board: list scope %d, %d entries, %d workers known", l.Scope, len(l.Entries), len(c.links))
 	c.feed(e)
 	c.known.Store(true)
 }
 
 type timed struct {
-	at time.Time
-	do func()
+	at    time.Time
+	do    func()
+	place int // in the heap; -1: it has left
 }
 
-type timers []timed
+type timers []*timed
 
 func (t timers) Len() int           { return len(t) }
 func (t timers) Less(i, j int) bool { return t[i].at.Before(t[j].at) }
-func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)        { *t = append(*t, x.(timed)) }
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].place, t[j].place = i, j
+}
+func (t *timers) Push(x any) {
+	d := x.(*timed)
+	d.place = len(*t)
+	*t = append(*t, d)
+}
 func (t *timers) Pop() any {
 	old := *t
-	x := old[len(old)-1]
-	old[len(old)-1] = timed{}
+	d := old[len(old)-1]
+	old[len(old)-1] = nil
 	*t = old[:len(old)-1]
-	return x
+	d.place = -1
+	return d
 }
--- /dev/null
+++ b/internal/dispatch/core_test.go
@@ -0,0 +1,42 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"kitefall/internal/board"
+	"kitefall/internal/call"
+	"kitefall/internal/worker"
+	"kitefall/rules"
+)
+
+// On a long day workers are replaced by others all the time, and calls come and go: nothing of them may stay.
+func TestNothingStaysOfWhatHasLeft(t *testing.T) {
+	c, err := New(Config{MostOpen: 10, MostHeld: 1 << 20, Links: worker.Config{Room: worker.NewRoom(4)},
+		Settings: rules.Settings{DrainGrace: time.Second, Classes: []rules.Class{{Name: "consulta",
+			Aim: time.Second, Deadline: time.Second}}}})
+	require.NoError(t, err)
+	for i := range 100 {
+		e := board.Entry{Addr: "127.0.0.1:1", Worker: rules.Worker{ID: rules.WorkerID(fmt.Sprint("s-", i)), Weight: 1}}
+		c.onList(board.List{Scope: rules.ListChange, Entries: []board.Entry{e}, Told: time.Now()})
+		e.State = rules.Removed
+		c.onList(board.List{Scope: rules.ListChange, Entries: []board.Entry{e}, Told: time.Now()})
+	}
+	assert.Empty(t, c.links)
+	before := len(c.timers)
+	for range 100 {
+		answered := false
+		k := &call.Call{Class: "consulta", Function: "7f3a9c21e0b4d655", Deadline: time.Now().Add(time.Hour),
+			Done: func(call.Answer) { answered = true }}
+		c.open.Add(1)
+		c.accept(k, &Handle{core: c})
+		c.answer(c.calls[c.last], call.Answer{Outcome: call.Failed})
+		require.True(t, answered)
+	}
+	assert.Empty(t, c.calls)
+	assert.LessOrEqual(t, len(c.timers), before+1, "the module's own timer")
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -161,7 +161,7 @@
 // Links are settings for connections to match.
 func Links() worker.Config {
 	return worker.Config{DialTimeout: time.Second, IdleClose: 15 * time.Second, DrainGrace: time.Second, Streams: 32,
-		Connections: 4}
+		Connections: 4, Room: worker.NewRoom(64)}
 }
 
 // NewCore starts a core that knows the workers. Who calls it stops it.
--- a/internal/worker/frame.go
+++ b/internal/worker/frame.go
@@ -2,6 +2,7 @@
 package worker
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -52,16 +53,18 @@
 	if head[0] != mark || body > mostAnswer {
 		return frame{}, fmt.Errorf("%w: mark %d, %d bytes of body", errFrame, head[0], body)
 	}
-	rest := make([]byte, fields+int(body)+4)
-	if _, err := io.ReadFull(r, rest); err != nil {
+	// Room is made as the bytes come: a claim alone gets none.
+	var data bytes.Buffer
+	if _, err := io.CopyN(&data, r, int64(fields)+int64(body)+4); err != nil {
 		return frame{}, err
 	}
-	data := rest[:len(rest)-4]
-	if crc32.ChecksumIEEE(data) != binary.BigEndian.Uint32(rest[len(data):]) {
+	rest := data.Bytes()
+	rest, check := rest[:len(rest)-4], rest[len(rest)-4:]
+	if crc32.ChecksumIEEE(rest) != binary.BigEndian.Uint32(check) {
 		return frame{}, fmt.Errorf("%w: check does not match", errFrame)
 	}
 	return frame{mark: head[0], code: head[1], id: binary.BigEndian.Uint64(head[8:]),
-		fields: string(data[:fields]), body: data[fields:]}, nil
+		fields: string(rest[:fields]), body: rest[fields:]}, nil
 }
 
 func (f frame) field(name string) string {
--- a/internal/worker/link.go
+++ b/internal/worker/link.go
@@ -5,14 +5,17 @@
 	"cmp"
 	"errors"
 	"fmt"
-	"log"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"os"
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"kitefall/internal/quiet"
 	"kitefall/rules"
 )
 
@@ -23,15 +26,39 @@
 	DrainGrace  time.Duration // nothing new is sent later than this after word of a drain
 	Streams     int           // calls on one connection
 	Connections int           // to one worker at most
+	Room        *Room         // for connections to all workers
+}
+
+// Room is how many connections all links together may have. The first one of each link is always allowed: without
+// it a worker could not be reached at all.
+type Room struct{ left atomic.Int64 }
+
+// NewRoom returns room for so many connections.
+func NewRoom(connections int) *Room {
+	r := &Room{}
+	r.left.Store(int64(connections))
+	return r
 }
 
 // closeEarly is the part of IdleClose after which this side closes an idle connection. Sooner than the
 // worker, since a call that crosses the worker's close may have run and could not be repeated.
 const closeEarly = 0.8
 
-// silence is how long a connection says nothing to an open call before its end marks the connection as stale.
+// frameBy is how long an answer may take from its first byte to its last. One that stops short would hold back all
+// else on its connection until each call's own time is over.
+const frameBy = 250 * time.Millisecond
+
+// spent is how long an id stays off the connection on which it has ended: an answer to it may still come, late or
+// for a second time, and would be taken for that of a later attempt.
+const spent = 10 * time.Second
+
+// silence is how long nothing is said to an open call before its end marks the connection as stale, and all others
+// of the link with it if they say nothing either.
 const silence = 500 * time.Millisecond
 
+// ended is the log line of connections that end: peers can cause any number of them.
+var ended = quiet.NewLine()
+
 var (
 	errBusy = errors.New("no room on any connection")
 	errGone = errors.New("worker is gone")
@@ -56,6 +83,7 @@
 	done    func(Result) // from a goroutine of the link
 	conn    *conn
 	ended   bool
+	again   bool // it was moved here from a connection that broke before it was written
 	written time.Time
 }
 
@@ -66,6 +94,7 @@
 
 	mu      sync.Mutex
 	conns   []*conn
+	heard   time.Time // when an answer last came, on any connection
 	drained time.Time // when word came that it drains or is gone
 	gone    bool
 }
@@ -80,10 +109,10 @@
 	closed chan struct{}
 
 	// Guarded by the link's mu.
-	open         map[uint64]*Job
-	givenUp      map[uint64]time.Time // late answers to these may still come
-	shut, stale  bool
-	heard, since time.Time
+	open        map[uint64]*Job
+	spent       map[uint64]time.Time // ids that have ended here: further answers to them may come
+	shut, stale bool
+	since       time.Time // when it was last in use
 }
 
 // Call sends an attempt. An error means that nothing was or will be sent, and done is not called.
@@ -114,6 +143,11 @@
 func (l *Link) send(j *Job) (*Job, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.put(j)
+}
+
+// put queues a job, with l locked.
+func (l *Link) put(j *Job) (*Job, error) {
 	if l.gone {
 		return nil, errGone
 	}
@@ -133,21 +167,26 @@
 	return j, nil
 }
 
-// pick finds a connection with room for a job, or begins a new one.
+// pick finds a connection for a job: an idle one, else a new one, else that with the fewest open. Peers may cut a
+// connection or spoil an answer at any time, and whatever is open there then fails with it.
 func (l *Link) pick(j *Job) *conn {
+	var best *conn
 	for _, c := range l.conns {
-		_, given := c.givenUp[j.id]
-		// An id that is open or given up on a connection stays off it: the answer to the earlier attempt
-		// would be taken for that of this one.
-		if !c.shut && !c.stale && c.open[j.id] == nil && !given && len(c.open) < l.config.Streams {
-			return c
+		_, used := c.spent[j.id]
+		if !c.shut && !c.stale && c.open[j.id] == nil && !used && len(c.open) < l.config.Streams &&
+			(best == nil || len(c.open) < len(best.open)) {
+			best = c
 		}
 	}
-	if len(l.conns) >= l.config.Connections {
-		return nil
+	if best != nil && len(best.open) == 0 || len(l.conns) >= l.config.Connections {
+		return best
+	}
+	if l.config.Room.left.Add(-1) < 0 && len(l.conns) > 0 {
+		l.config.Room.left.Add(1)
+		return best
 	}
 	c := &conn{link: l, out: make(chan *Job, 4*l.config.Streams), closed: make(chan struct{}),
-		open: map[uint64]*Job{}, givenUp: map[uint64]time.Time{}, since: time.Now()}
+		open: map[uint64]*Job{}, spent: map[uint64]time.Time{}, since: time.Now()}
 	l.conns = append(l.conns, c)
 	go c.run(time.Now().Add(l.config.DialTimeout))
 	return c
@@ -164,16 +203,14 @@
 	}
 	now := time.Now()
 	// A machine that was cut off leaves its connections open and silent. New ones tell: they fail to come up,
-	// and what was to go there never ran.
-	if c.heard.Before(j.written) && now.Sub(j.written) > silence {
+	// and what was to go there never ran. If only this connection is silent, its peer may have lost the call.
+	if now.Sub(j.written) > silence {
 		c.stale = true
-	}
-	for id, at := range c.givenUp {
-		if now.Sub(at) > 10*time.Second {
-			delete(c.givenUp, id)
+		for _, o := range l.conns {
+			o.stale = o.stale || l.heard.Before(j.written)
 		}
 	}
-	if c.givenUp[j.id] = now; j.code == codeCall {
+	if c.spent[j.id] = now; j.code == codeCall {
 		select {
 		case c.out <- j:
 		default: // the worker takes nothing in; the attempt ends there by its own deadline
@@ -182,6 +219,13 @@
 	return true
 }
 
+// Idle tells whether nothing is open on any connection.
+func (l *Link) Idle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !slices.ContainsFunc(l.conns, func(c *conn) bool { return len(c.open) > 0 })
+}
+
 // Drain notes when word came that the worker drains, or is gone, or (zero time) that it is ready again.
 func (l *Link) Drain(at time.Time, gone bool) {
 	l.mu.Lock()
@@ -230,6 +274,7 @@
 			c.write(j)
 		case now := <-idle.C:
 			c.link.mu.Lock()
+			maps.DeleteFunc(c.spent, func(_ uint64, at time.Time) bool { return now.Sub(at) > spent })
 			if len(c.open) == 0 && len(c.out) == 0 && (c.stale || c.link.gone || now.Sub(c.since) > early) {
 				c.shutdown()
 			}
@@ -278,23 +323,31 @@
 func (c *conn) read() {
 	r := bufio.NewReaderSize(c.net, 4096)
 	for {
+		if _, err := r.Peek(1); err != nil {
+			c.end(err, nil)
+			return
+		}
+		c.net.SetReadDeadline(time.Now().Add(frameBy))
 		f, err := readFrame(r, markAnswer)
 		if err != nil {
 			c.end(err, nil)
 			return
 		}
+		c.net.SetReadDeadline(time.Time{})
 		now := time.Now()
+		result, ok := f.result()
 		c.link.mu.Lock()
 		j := c.open[f.id]
-		c.heard, c.since = now, now
-		delete(c.givenUp, f.id)
+		c.link.heard, c.since = now, now
+		if j != nil && result.Status != rules.OK { // the call may come here again, and this answer too
+			c.spent[f.id] = now
+		}
 		c.link.mu.Unlock()
-		result, ok := f.result()
 		if !ok {
 			c.end(fmt.Errorf("%w: code %d", errFrame, f.code), nil)
 			return
 		}
-		if j != nil && f.code != codeConnection { // else it was given up, and this is its late answer
+		if j != nil && f.code != codeConnection { // else it is nobody's: late, a second copy, or never asked for
 			c.finish(j, result)
 		}
 	}
@@ -342,26 +395,48 @@
 	c.shut = true
 	close(c.closed)
 	c.link.conns = slices.DeleteFunc(c.link.conns, func(o *conn) bool { return o == c })
+	c.link.config.Room.left.Add(1)
 	if c.net != nil {
 		c.net.Close()
 	}
 }
 
-// end closes the connection and ends what is open on it: what was not written whole never ran, all else may have.
+// end closes the connection and ends what is open on it. What was not written whole never ran: it goes to another
+// connection, once, unless this one never came up. All else may have run.
 func (c *conn) end(err error, partial *Job) {
-	c.link.mu.Lock()
-	if !c.shut && (c.net == nil || errors.Is(err, errFrame)) {
-		log.Printf("worker %s: connection ended: %v", c.link.uid, err)
+	l := c.link
+	l.mu.Lock()
+	if !c.shut && (c.net == nil || errors.Is(err, errFrame) || errors.Is(err, os.ErrDeadlineExceeded)) {
+		ended.Printf("worker %s: connection ended: %v", l.uid, err)
 	}
+	up := c.net != nil && !l.gone
 	c.shutdown()
 	open := c.open
 	c.open = map[uint64]*Job{}
-	c.link.mu.Unlock()
+	l.mu.Unlock()
 	for _, j := range open {
-		if j == partial || j.written.IsZero() {
+		never := j == partial || j.written.IsZero()
+		if never && up && !j.again {
+			if l.move(j) {
+				continue
+			}
+		}
+		if never {
 			c.finish(j, Result{Status: rules.ConnectFailed})
 		} else {
 			c.finish(j, Result{Status: rules.Reset})
 		}
 	}
 }
+
+// move sends a job that was not written on another connection, and tells whether it could.
+func (l *Link) move(j *Job) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if j.ended {
+		return true
+	}
+	j.again, j.written = true, time.Time{}
+	_, err := l.put(j)
+	return err == nil
+}
--- a/internal/worker/link_test.go
+++ b/internal/worker/link_test.go
@@ -98,3 +98,65 @@
 	w.Next().OK("")
 	assert.Equal(t, rules.OK, (<-ended).Status)
 }
+
+func link(t *testing.T, w *standin.Worker, room int) *worker.Link {
+	c := standin.Links()
+	c.Room = worker.NewRoom(room)
+	l := worker.NewLink("s-1", w.Addr, &c)
+	t.Cleanup(l.Close)
+	return l
+}
+
+// A frame that begins and stops short must not hold its connection until the calls' own time is over.
+func TestFrameThatStopsShortEndsItsConnection(t *testing.T) {
+	w := standin.NewWorker(t)
+	l := link(t, w, 0)
+	_, ended := call(t, l, 1, time.Now().Add(time.Hour))
+	k := w.Next()
+	k.Raw(standin.Frame(64, k.ID, "remark=hot", "done")[:20])
+	assert.Equal(t, rules.Reset, (<-ended).Status)
+}
+
+// A second copy of a miss must not pass for the answer to the call when it comes there again.
+func TestSecondCopyOfAMissEndsNothing(t *testing.T) {
+	w := standin.NewWorker(t)
+	l := link(t, w, 64)
+	_, missed := call(t, l, 1, standin.By())
+	first := w.Next()
+	first.Answer(66, "", "")
+	require.Equal(t, rules.Miss, (<-missed).Status)
+	_, ended := call(t, l, 1, standin.By())
+	again := w.Next()
+	first.Answer(66, "", "")
+	_, other := call(t, l, 2, standin.By()) // on the first connection, behind the second copy
+	w.Next().OK("")
+	require.Equal(t, rules.OK, (<-other).Status)
+	again.Answer(64, "", "done")
+	assert.Equal(t, "done", string((<-ended).Body))
+}
+
+// An answer to an id that is open nowhere, ahead of a good one, does no harm.
+func TestUnknownIDAheadOfAGoodAnswer(t *testing.T) {
+	w := standin.NewWorker(t)
+	_, ended := call(t, link(t, w, 64), 1, standin.By())
+	k := w.Next()
+	k.Raw(append(standin.Frame(64, 99, "remark=hot", "whose"), standin.Frame(64, 1, "remark=hot", "done")...))
+	assert.Equal(t, "done", string((<-ended).Body))
+}
+
+// Calls go to connections of their own while there is room, so that one break ends one call; without room they
+// share, and a link has always its first connection.
+func TestOneBreakEndsOneCall(t *testing.T) {
+	for room, second := range map[int]rules.Status{64: rules.OK, 0: rules.Reset} {
+		w := standin.NewWorker(t)
+		l := link(t, w, room)
+		_, cut := call(t, l, 1, standin.By())
+		first := w.Next()
+		_, other := call(t, l, 2, standin.By())
+		k := w.Next()
+		first.Die()
+		assert.Equal(t, rules.Reset, (<-cut).Status)
+		k.OK("")
+		assert.Equal(t, second, (<-other).Status, "room %d", room)
+	}
+}
