Forget workers in the module once they have left and no rule needs them

Nothing is open there, no order is pending, and the cold ramp plus the span of the cold rule have passed: after that one that comes back is warm or has a new start.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -102,7 +102,7 @@
 	}
 	if e.Scope != ListChange {
 		for _, w := range b.workers {
-			w.State = Removed
+			b.left(w, Removed)
 		}
 	}
 	for _, l := range e.Workers {
@@ -118,6 +118,7 @@
 			w.size = l.Weight
 		}
 		fresh := l.Started > w.Started
+		b.left(w, l.State)
 		w.Worker = l
 		if fresh {
 			b.restarted(w, l.Started)
@@ -194,6 +195,11 @@
 			w.bad[c] *= 1 - smooth/2 // a second chance comes by itself, and soon
 		}
 	}
+	for id, w := range b.workers { // one that comes back by now would be warm, or have a new start
+		if w.State == Removed && len(w.out) == 0 && b.now-w.leftAt > b.set.ColdRamp+b.set.FallSpan {
+			b.forget(id)
+		}
+	}
 	var ranked []*function
 	total := 0.0
 	for id, f := range b.functions {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -490,3 +490,23 @@
 		t.Error("suspect after 1 ms of silence")
 	}
 }
+
+// On a long day workers are replaced by others all the time: those that have left must not stay.
+func TestWorkersThatLeftAreForgotten(t *testing.T) {
+	f := newFleet(t, testSettings(), 1)
+	f.list(1)
+	for i := range 20 {
+		id := WorkerID(fmt.Sprintf("v%02d", i))
+		f.change(ListChange, Worker{ID: id, Weight: 1})
+		f.served("safe", fmt.Sprintf("fn%d", i%3))
+		f.change(ListChange, Worker{ID: id, Weight: 1, State: Removed})
+	}
+	f.to(f.now + f.set.ColdRamp + f.set.FallSpan + time.Second)
+	at := 0
+	for _, fn := range f.b.functions {
+		at += len(fn.at)
+	}
+	if len(f.b.workers) != 1 || at > len(f.b.functions) {
+		t.Errorf("%d workers and %d places are kept", len(f.b.workers), at)
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -21,6 +21,7 @@
 	coldSends        []time.Duration
 	out              []*attempt // pending, oldest first
 	heard, shrunk    time.Duration
+	leftAt           time.Duration // when it was removed
 	broke            time.Duration      // when a connection to it last broke
 	window           float64            // own requests in flight allowed
 	ratio            float64            // answer time against the fleet's for the same functions
@@ -220,6 +221,27 @@
 	return p
 }
 
+// left notes the moment at which a worker is removed.
+func (b *Balancer) left(w *worker, s WorkerState) {
+	if s == Removed && w.State != Removed {
+		w.leftAt = b.now
+	}
+	w.State = s
+}
+
+// forget drops a worker that has left, unless an order to it is still pending.
+func (b *Balancer) forget(id WorkerID) {
+	for _, f := range b.functions {
+		if p := f.at[id]; p != nil && p.ordered {
+			return
+		}
+	}
+	for _, f := range b.functions {
+		delete(f.at, id)
+	}
+	delete(b.workers, id)
+}
+
 // warm is the part of its capacity that a worker has for certain.
 func (b *Balancer) warm(w *worker) float64 {
 	if !w.isCold {
