--- a/rules/state.go
+++ b/rules/state.go
@@ -21,7 +21,7 @@
 	coldSends        []time.Duration
 	out              []*attempt // pending, oldest first
 	heard, shrunk    time.Duration
-	leftAt           time.Duration // when it was removed
+	leftAt           time.Duration      // when it was removed
 	broke            time.Duration      // when a connection to it last broke
 	window           float64            // own requests in flight allowed
 	ratio            float64            // answer time against the fleet's for the same functions
