Shut a worker to a class that it turns away whole, with trials of one call

Checked with a trace of every outcome: from 5.5 s to 15 s three of six workers answered 194 of 229 consulta that found their way in with 'full' after 85 to 88 ms each, for any function, with 1 to 3 requests out and copies that stand; reserva there were all served or missed. Ruled out: load (1 to 3 out), memory (copies stand), the other three workers (no 'full').

At fault: onOutcome in rules.go: 'full' kept a worker out for half an answer time only, shrank its window for all classes, and was not counted as failing the class; each costs an attempt and 86 ms.

Now: four in a row shut the worker to that class for 250 ms, doubling to 2 s, one request as the trial each time; window and other classes are left alone, and no copies are ordered ahead for that class there. An answer halves the count.

Test: TestWorkerThatTurnsAClassAwayIsShutToIt, asked 40 times in two seconds without it.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -36,6 +36,8 @@
 	retryShare  = 0.2                    // second copies and repeats, as a part of the requests taken
 	retryBurst  = 20.0                   // ... and as many at once
 	badOver     = 0.2                    // a worker failing this much more of a class than the fleet gets none
+	turnedMost  = 4                      // so many calls of a class turned away in a row shut a worker to it ...
+	turnedRest  = 250 * time.Millisecond // ... for this long, and twice as long each time
 	keepTrust   = 0.6                    // a copy is believed to stand for this part of its idle time
 	loadStart   = 4.0                    // load orders in flight at the start
 	loadUsual   = 1.0                    // seconds that a load takes, till one has been seen
@@ -108,7 +110,8 @@
 	for _, l := range e.Workers {
 		w := b.workers[l.ID]
 		if w == nil {
-			w = &worker{hash: hash(string(l.ID)), bad: map[string]float64{}, window: b.firstWindow(), ratio: 1}
+			w = &worker{hash: hash(string(l.ID)), bad: map[string]float64{}, turned: map[string]int{},
+				shut: map[string]time.Duration{}, window: b.firstWindow(), ratio: 1}
 			b.workers[l.ID] = w
 		}
 		if l.Weight <= 0 {
@@ -138,6 +141,8 @@
 func (b *Balancer) restarted(w *worker, at time.Duration) {
 	w.cold, w.isCold, w.coldSends = at, true, nil
 	w.suspect, w.mute, w.ratio, w.late, w.window = false, false, 1, 0, b.firstWindow()
+	clear(w.turned)
+	clear(w.shut)
 	for _, f := range b.functions {
 		if p := f.at[w.ID]; p != nil {
 			p.copies, p.until = 0, 0
@@ -366,7 +371,8 @@
 				next = nil
 				break
 			}
-			if next == nil && !b.stands(p) && b.ordersFirst(p) && !p.w.suspect && b.now >= p.avoid {
+			if next == nil && !b.stands(p) && b.ordersFirst(p) && !p.w.suspect && b.now >= p.avoid &&
+				p.w.turned[f.class] < turnedMost {
 				next = p
 			}
 		}
@@ -398,6 +404,7 @@
 		b.work += (work - b.work) * firstOr(b.work, smooth/4)
 		part = min(work/b.work, 1/smooth)
 	}
+	f.class = c.Name
 	f.count.add(b.now, part, countWindow)
 	b.heat(f)
 	f.users++
@@ -575,9 +582,10 @@
 		b.load(w) > skipOver*b.mean+skipSlack*float64(b.set.Peers)/b.capacity(w)
 }
 
-// sound leaves out who fails more of the class than the fleet; a suspect gets one safe request as its trial.
+// sound leaves out who fails more of the class than the fleet or turns all of it away; a suspect gets one safe
+// request as its trial.
 func (b *Balancer) sound(r *request, w *worker) bool {
-	return !r.avoid[w.ID] && w.bad[r.class.Name] <= badOver+b.bad[r.class.Name] && (!w.suspect || b.panicky ||
+	return !r.avoid[w.ID] && b.now >= w.shut[r.class.Name] && w.bad[r.class.Name] <= badOver+b.bad[r.class.Name] && (!w.suspect || b.panicky ||
 		r.class.Effect == Safe && b.now >= w.trialAt && len(w.out) == 0 && len(r.attempts)+1 < b.set.MaxAttempts)
 }
 
@@ -638,6 +646,9 @@
 	if w.suspect {
 		b.trial(w)
 	}
+	if w.turned[r.class.Name] >= turnedMost {
+		b.shutFor(w, r.class.Name)
+	}
 	r.attempts, r.wait, r.asked = append(r.attempts, a), nil, 0
 	r.out++
 	w.out = append(w.out, a)
@@ -719,8 +730,12 @@
 	case Full:
 		b.alive(w)
 		b.crowded(r.f, e.Crowd)
-		w.fullUntil = b.now + sec(b.answer/2)
-		b.shrink(w)
+		if w.turned[class]++; w.turned[class] < turnedMost {
+			w.fullUntil = b.now + sec(b.answer/2)
+			b.shrink(w)
+		} else { // nothing of this class gets in there, whatever its load
+			b.shutFor(w, class)
+		}
 	case Miss:
 		b.alive(w)
 		if p.copies > 0 && e.Warmth != LoadFailed { // released anew or unloaded: the other copies are in doubt
@@ -762,6 +777,11 @@
 	}
 }
 
+// shutFor keeps a class off a worker that turns it away, till the next trial of one request.
+func (b *Balancer) shutFor(w *worker, class string) {
+	w.shut[class] = b.now + min(turnedRest<<min(w.turned[class]-turnedMost, 5), trialMost/4)
+}
+
 // trial puts off the next trial of a suspect worker, twice as long each time.
 func (b *Balancer) trial(w *worker) {
 	w.backoff = min(2*w.backoff, trialMost)
@@ -806,6 +826,7 @@
 func (b *Balancer) answered(r *request, p *placed, e OutcomeEvent) {
 	w, f := p.w, r.f
 	b.alive(w)
+	w.turned[r.class.Name] /= 2
 	p.copies, p.missed, p.until, p.absent = max(p.copies, 1), false, b.now+b.trust(), 0
 	took := e.Took.Seconds()
 	f.answer, b.answer = cmp.Or(f.answer, took), cmp.Or(b.answer, took)
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -547,3 +547,32 @@
 		t.Errorf("%d and %d sends", len(f.open[first].sends), len(f.open[second].sends))
 	}
 }
+
+// Guards against incident r256b92: some workers turned every call of one class away, whatever they held, and served
+// the other. They were asked again every few milliseconds, and each time cost a request an attempt.
+func TestWorkerThatTurnsAClassAwayIsShutToIt(t *testing.T) {
+	f := newFleet(t, testSettings(), 1)
+	f.list(1)
+	f.served("unsafe", "other")
+	f.served("safe", "fn")
+	turned := 0
+	for range 40 { // in two seconds
+		id := f.request("safe", "fn", time.Minute)
+		f.to(f.now + 50*ms)
+		if n := len(f.open[id].sends); n > 0 && f.open[id].sends[n-1].pending {
+			f.outcome(id, n-1, Full)
+			turned++
+		}
+		f.event(GoneEvent{ID: id})
+	}
+	if turned > turnedMost+4 {
+		t.Errorf("asked %d times in two seconds", turned)
+	}
+	f.served("unsafe", "other") // the other class still goes there
+	id := f.request("safe", "fn", 3*time.Second)
+	f.to(f.now + trialMost/4 + 20*ms) // a trial comes, and its answer opens the worker again
+	if n := len(f.open[id].sends); n == 0 {
+		t.Fatal("no trial")
+	}
+	f.outcome(id, 0, OK)
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -21,12 +21,14 @@
 	coldSends        []time.Duration
 	out              []*attempt // pending, oldest first
 	heard, shrunk    time.Duration
-	leftAt           time.Duration      // when it was removed
-	broke            time.Duration      // when a connection to it last broke
-	window           float64            // own requests in flight allowed
-	ratio            float64            // answer time against the fleet's for the same functions
-	bad              map[string]float64 // part of its attempts that fail, by class
-	late             float64            // answer time against the aim
+	leftAt           time.Duration            // when it was removed
+	broke            time.Duration            // when a connection to it last broke
+	window           float64                  // own requests in flight allowed
+	ratio            float64                  // answer time against the fleet's for the same functions
+	bad              map[string]float64       // part of its attempts that fail, by class
+	turned           map[string]int           // calls turned away since the last answer, by class
+	shut             map[string]time.Duration // no call of the class before this
+	late             float64                  // answer time against the aim
 	fullUntil        time.Duration
 	trialAt, backoff time.Duration
 	held, others     float64 // requests it holds or has queued, as reported at heldAt; ... those of others
@@ -49,6 +51,7 @@
 }
 
 type function struct {
+	class        string
 	id           FunctionID
 	lanes        int
 	loadTime     float64 // usual time of a load, seconds
