Leave a function alone that nobody knows; want of room blames no worker

Ruled out: malformed requests, none of which reach a worker any more; slow loads (took 0).

At fault: order and onLoaded in rules.go; launch in internal/dispatch/core.go, which reported errBusy as a failed connection.

Now: three errors before any answer or load mean that nobody knows the function: no orders and no attempts for 5 s, its calls are refused at once; those errors cut no window and count against no worker. errBusy is 'never sent'.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -344,8 +344,8 @@
 	job, err := l.Call(t.ID, t.Class, t.Function, t.Body, t.until, func(r worker.Result) {
 		c.post(func() { c.outcome(t, r) })
 	})
-	if err != nil {
-		c.outcome(t, worker.Result{Status: rules.ConnectFailed})
+	if err != nil { // for want of room on this side, which says nothing of the worker
+		c.outcome(t, worker.Result{Status: rules.Moot})
 		return
 	}
 	t.link, t.job = l, job
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -40,3 +40,18 @@
 	assert.Empty(t, c.calls)
 	assert.LessOrEqual(t, len(c.timers), before+1, "the module's own timer")
 }
+
+// That a link has no room is this side's own affair. Taken for a connection that failed, it left the worker out.
+func TestNoRoomOnALinkSaysNothingOfTheWorker(t *testing.T) {
+	c, err := New(Config{MostOpen: 10, MostHeld: 1 << 20, Links: worker.Config{Room: worker.NewRoom(0)},
+		Settings: rules.Settings{DrainGrace: time.Second, MaxAttempts: 4, Classes: []rules.Class{{Name: "reserva",
+			Effect: rules.Unsafe, Aim: time.Second, Deadline: time.Second}}}})
+	require.NoError(t, err)
+	c.onList(board.List{Scope: rules.ListFull, Told: time.Now(), Entries: []board.Entry{{Addr: "127.0.0.1:1",
+		Worker: rules.Worker{ID: "s-1", Weight: 1}}}})
+	for range 2 {
+		c.accept(&call.Call{Class: "reserva", Function: "7f3a9c21e0b4d655", Deadline: time.Now().Add(time.Hour),
+			Done: func(call.Answer) {}}, &Handle{core: c})
+		assert.Len(t, c.calls[c.last].attempts, 1, "it is tried there")
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -38,6 +38,8 @@
 	badOver     = 0.2                    // a worker failing this much more of a class than the fleet gets none
 	turnedMost  = 4                      // so many calls of a class turned away in a row shut a worker to it ...
 	turnedRest  = 250 * time.Millisecond // ... for this long, and twice as long each time
+	strangeMost = 3                      // so many errors before any answer: nobody knows the function ...
+	strangeRest = 5 * time.Second        // ... and it is not tried again for this long
 	keepTrust   = 0.6                    // a copy is believed to stand for this part of its idle time
 	loadStart   = 4.0                    // load orders in flight at the start
 	loadUsual   = 1.0                    // seconds that a load takes, till one has been seen
@@ -293,6 +295,20 @@
 	return b.set.Orders && !b.set.LoadOnMiss && len(r.attempts) > 0 && len(r.attempts)+1 >= b.set.MaxAttempts
 }
 
+// strange tells that nobody knows a function, as far as this dispatcher has heard: its calls and loads met
+// errors only. Any client can name such a function; to try it again and again would use up the ration.
+func (b *Balancer) strange(f *function) bool {
+	return !f.known && f.errors >= strangeMost && b.now-f.errorAt < strangeRest
+}
+
+// erred notes an error for a function, and tells whether that says something of the worker or the store.
+func (b *Balancer) erred(f *function) bool {
+	if !f.known {
+		f.errors, f.errorAt = f.errors+1, b.now
+	}
+	return f.known
+}
+
 // ordersFirst tells whether a copy not believed to stand is ordered before a request goes there.
 func (b *Balancer) ordersFirst(p *placed) bool {
 	return b.set.Orders && !b.set.LoadOnMiss && (b.set.LoadWindow == 0 || p.missed)
@@ -300,7 +316,7 @@
 
 // order is the one place that emits Load. It keeps the drain rule and the ration, and paces by the window.
 func (b *Balancer) order(f *function, p *placed, copies int, allowed float64) bool {
-	if p.ordered || !b.set.Orders || f.id == "" || p.w.State != Ready || b.now < p.avoid ||
+	if p.ordered || !b.set.Orders || b.strange(f) || f.id == "" || p.w.State != Ready || b.now < p.avoid ||
 		float64(b.loads) >= allowed {
 		return false
 	}
@@ -330,8 +346,9 @@
 	b.loads--
 	p.copies = e.Copies
 	took, usual := e.Took.Seconds(), f.loadTime
+	slow := (e.Status != Failed || b.erred(f)) && (e.Status != OK || took > loadSlow*usual)
 	if e.Status == OK {
-		w.heard = b.now
+		w.heard, f.known = b.now, true
 		p.missed, p.until, p.absent = false, b.now+b.trust(), 0
 		b.window += 1 / b.window
 		if took > usual*smooth { // less: it stood already
@@ -342,7 +359,7 @@
 	} else if e.Status == ConnectFailed {
 		b.suspect(w, true)
 	}
-	if (e.Status != OK || took > loadSlow*usual) && b.now-b.shrunk > sec(usual/2) {
+	if slow && b.now-b.shrunk > sec(usual/2) {
 		b.shrunk, b.window = b.now, math.Max(loadLeast, b.window*loadCut)
 	}
 	b.resume(func(r *request) bool { return r.wait == p })
@@ -437,7 +454,8 @@
 
 // place finds a request without a pending attempt its next step: a send, a wait for an order, or its end.
 func (b *Balancer) place(r *request) {
-	if len(r.attempts) >= b.set.MaxAttempts || b.over(r) || (r.mayHaveRun() && r.class.Effect == Unsafe) ||
+	if len(r.attempts) >= b.set.MaxAttempts || b.over(r) || b.strange(r.f) ||
+		(r.mayHaveRun() && r.class.Effect == Unsafe) ||
 		r.Repeat && b.now+sec(r.f.answer) > r.deadline { // its client would be gone before the usual answer
 		b.end(r)
 		return
@@ -720,7 +738,7 @@
 	if e.Status == TimedOut || e.Status == Failed || e.Status == Reset {
 		bad = 1
 	}
-	if e.Status != Reset || b.broken(w) {
+	if (e.Status != Reset || b.broken(w)) && (e.Status != Failed || b.erred(r.f)) {
 		w.bad[class] += (bad - w.bad[class]) * smooth
 		b.bad[class] += (bad - b.bad[class]) * smooth / 10
 	}
@@ -829,6 +847,7 @@
 	w, f := p.w, r.f
 	b.alive(w)
 	w.turned[r.class.Name] /= 2
+	f.known = true
 	p.copies, p.missed, p.until, p.absent = max(p.copies, 1), false, b.now+b.trust(), 0
 	took := e.Took.Seconds()
 	f.answer, b.answer = cmp.Or(f.answer, took), cmp.Or(b.answer, took)
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -577,3 +577,29 @@
 		t.Fatal("no trial")
 	}
 }
+
+// Any client can name a function that no worker knows. Tried on again and again it used up the ration of loads, and
+// each error at once was taken for a crowded store.
+func TestFunctionThatNobodyKnowsIsLeftAlone(t *testing.T) {
+	f := newFleet(t, testSettings(), 1)
+	f.list(6)
+	window := f.b.window
+	for range 5 {
+		id := f.request("safe", "nobody's", time.Second)
+		for i := 0; i < len(f.open[id].sends) || len(f.orders) > 0; {
+			f.answerOrders(Failed)
+			if i < len(f.open[id].sends) {
+				f.outcome(id, i, Failed)
+				i++
+			}
+		}
+		f.to(f.now + 20*ms)
+	}
+	if n := len(f.loads) + len(f.sent); n > strangeMost {
+		t.Errorf("tried %d times", n)
+	}
+	if f.b.window < window || len(f.b.bad) > 0 && f.b.bad["safe"] > 0 {
+		t.Errorf("the store or the workers are blamed: window %v, bad %v", f.b.window, f.b.bad)
+	}
+	f.served("safe", "fn")
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -62,6 +62,9 @@
 	hot          bool
 	start, size  int // its group: this many workers from this place in home order; rare: its home
 	turn         int
+	known        bool // a call was answered, or a load came to its end
+	errors       int  // before that
+	errorAt      time.Duration
 	home         []*worker // rendezvous order, as of epoch
 	epoch, users int       // users: open requests and pending orders
 	at           map[WorkerID]*placed
