--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -2,7 +2,19 @@
 // no wire.
 package call
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
+
+// MostBody is how many bytes the body of a call may have: the workers' protocol sets it, whichever front it comes by.
+const MostBody = 16 << 10
+
+// Hex16 tells whether a text is 16 hex digits, as the workers' protocol writes ids and functions.
+func Hex16(text string) bool {
+	_, err := strconv.ParseUint(text, 16, 64)
+	return err == nil && len(text) == 16
+}
 
 // Call is one request for a run of a function.
 type Call struct {
--- a/internal/front/invoke/config.go
+++ b/internal/front/invoke/config.go
@@ -5,7 +5,6 @@
 import (
 	"errors"
 	"fmt"
-	"strconv"
 	"time"
 
 	"github.com/BurntSushi/toml"
@@ -48,9 +47,6 @@
 	safe bool
 }
 
-// The bounds that the platform's protocol sets to every call, whichever front it comes from.
-const mostBody = 16 << 10
-
 // ReadConfig reads the operator's file and checks it against the classes of the settings.
 func ReadConfig(path string, settings rules.Settings) (*Config, error) {
 	c := &Config{Retention: 24 * time.Hour, MostWait: 20 * time.Second, MostOpen: 512, MostTickets: 100_000,
@@ -85,7 +81,7 @@
 		class, ok := classes[f.Class]
 		f.safe = ok && class.Effect == rules.Safe
 		if f.MostBody == 0 {
-			f.MostBody = mostBody
+			f.MostBody = call.MostBody
 		}
 		if f.ContentType == "" {
 			f.ContentType = "application/json"
@@ -96,8 +92,7 @@
 			err = errors.Join(err, fmt.Errorf("function %s: most_deadline is over the %v of class %s", name,
 				class.Deadline, f.Class))
 		}
-		_, bad := strconv.ParseUint(f.Key, 16, 64) // as the workers' protocol names functions
-		if !ok || bad != nil || len(f.Key) != 16 || f.Deadline <= 0 || f.MostTime < f.Deadline || f.MostBody > mostBody {
+		if !ok || !call.Hex16(f.Key) || f.Deadline <= 0 || f.MostTime < f.Deadline || f.MostBody > call.MostBody {
 			err = errors.Join(err, fmt.Errorf("function %s: class, key, deadlines or most_body cannot work", name))
 		}
 	}
--- a/internal/front/resp/guard.go
+++ b/internal/front/resp/guard.go
@@ -98,8 +98,8 @@
 	return g.Conn.Close()
 }
 
-// overdue tells whether the client has let one of its deadlines go by. What it owes no message is not asked of a
-// connection with requests open: closing it would lose their answers.
+// overdue tells whether the client has let one of its deadlines go by, with the server locked. A connection with
+// requests open never is: closing it would lose their answers.
 func (g *guard) overdue(now time.Time) bool {
 	p := &g.server.Patience
 	if g.client == nil { // connects and says nothing, or never comes to an end
--- a/internal/front/resp/resp.go
+++ b/internal/front/resp/resp.go
@@ -22,8 +22,7 @@
 )
 
 const (
-	mostOpen   = 32       // requests on one connection
-	mostBody   = 16 << 10 // bytes of a request's body
+	mostOpen   = 32 // requests on one connection
 	queued     = 2 * mostOpen
 	mostWait   = 600_000 // milliseconds, of any time that is told
 	mostLanes  = 1 << 10
@@ -415,14 +414,14 @@
 	if len(args) == 3 {
 		k.Body = args[2]
 	}
-	if len(k.Body) > mostBody {
+	if len(k.Body) > call.MostBody {
 		return k, fmt.Errorf("%d bytes of body", len(k.Body))
 	}
 	wait, id := 0.0, ""
 	err := pairs(string(args[1]), ",", "=", func(name, value string) (err error) {
 		switch name {
 		case "id":
-			if id = value; !hex16(value) {
+			if id = value; !call.Hex16(value) {
 				return fmt.Errorf("id %q", value)
 			}
 			k.ID, err = strconv.ParseUint(value, 16, 64)
@@ -441,7 +440,7 @@
 	})
 	switch {
 	case err != nil:
-	case id == "" || wait == 0 || !hex16(k.Function):
+	case id == "" || wait == 0 || !call.Hex16(k.Function):
 		err = fmt.Errorf("id %q, wait %v, key %q", id, wait, k.Function)
 	case !slices.ContainsFunc(s.Settings.Classes, func(c rules.Class) bool { return c.Name == k.Class }):
 		err = fmt.Errorf("no class %q", k.Class)
@@ -481,10 +480,6 @@
 	return n, err
 }
 
-func hex16(text string) bool {
-	return len(text) == 16 && strings.Trim(text, "0123456789abcdefABCDEF") == ""
-}
-
 // pairs reads a list of names and values, each name once.
 func pairs(text, between, is string, each func(name, value string) error) error {
 	seen := map[string]bool{}
--- a/internal/worker/link.go
+++ b/internal/worker/link.go
@@ -416,16 +416,14 @@
 	l.mu.Unlock()
 	for _, j := range open {
 		never := j == partial || j.written.IsZero()
-		if never && up && !j.again {
-			if l.move(j) {
-				continue
-			}
+		if never && up && !j.again && l.move(j) {
+			continue
 		}
+		status := rules.Reset
 		if never {
-			c.finish(j, Result{Status: rules.ConnectFailed})
-		} else {
-			c.finish(j, Result{Status: rules.Reset})
+			status = rules.ConnectFailed
 		}
+		c.finish(j, Result{Status: status})
 	}
 }
 
--- a/internal/worker/link_test.go
+++ b/internal/worker/link_test.go
@@ -55,9 +55,7 @@
 // The id of a call that was given up stays off its connection: its late answer would pass for the new one's.
 func TestGivenUpIDTakesAnotherConnection(t *testing.T) {
 	w := standin.NewWorker(t)
-	c := standin.Links()
-	l := worker.NewLink("s-1", w.Addr, &c)
-	t.Cleanup(l.Close)
+	l := link(t, w, 64)
 	j, _ := call(t, l, 1, standin.By())
 	first := w.Next()
 	assert.True(t, l.GiveUp(j), "it was written")
@@ -72,9 +70,7 @@
 // Giving up what has been answered must not end a later call that bears the same id.
 func TestGivingUpAnAnsweredCallLeavesALaterOneOpen(t *testing.T) {
 	w := standin.NewWorker(t)
-	c := standin.Links()
-	l := worker.NewLink("s-1", w.Addr, &c)
-	t.Cleanup(l.Close)
+	l := link(t, w, 64)
 	j, first := call(t, l, 1, standin.By())
 	w.Next().OK("first")
 	<-first
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -428,7 +428,6 @@
 	f.turn++
 	r := &request{RequestEvent: e, class: c, f: f, turn: f.turn, deadline: b.now + e.TimeLeft, worth: c.Worth,
 		avoid: map[WorkerID]bool{}}
-	r.half = b.now + e.TimeLeft/2
 	r.aim = b.now + min(e.TimeLeft, c.Aim+time.Duration(c.AimStretch*float64(e.Work)))
 	if t, most := b.shares[e.Tenant], b.allowed[e.Tenant]; most > 0 &&
 		t.add(b.now, 1, countWindow)/countWindow.Seconds()*float64(b.set.Peers) > most {
@@ -743,7 +742,7 @@
 		b.bad[class] += (bad - b.bad[class]) * smooth / 10
 	}
 	a.unseen = e.Status == ConnectFailed || e.Status == Moot
-	a.maybe = e.Status != Full && e.Status != Miss && e.Status != ConnectFailed && e.Status != Moot
+	a.maybe = !a.unseen && e.Status != Full && e.Status != Miss
 	switch e.Status {
 	case OK:
 		b.answered(r, p, e)
@@ -903,7 +902,7 @@
 			b.second(r)
 		case b.over(r):
 			b.end(r)
-		case b.now+sweepEvery > r.half && !r.written():
+		case b.now+sweepEvery > r.half() && !r.written():
 			b.decide(r)
 		case r.ask != nil && b.now < r.waitUntil:
 		case r.wait == nil:
--- a/rules/state.go
+++ b/rules/state.go
@@ -85,7 +85,6 @@
 	f               *function
 	worth           float64
 	aim, deadline   time.Duration
-	half            time.Duration // half of its time is over
 	attempts        []*attempt
 	out             int
 	closed, started bool
@@ -194,6 +193,9 @@
 	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.pending || a.maybe })
 }
 
+// half is when half of its time is over.
+func (r *request) half() time.Duration { return r.deadline - r.TimeLeft + r.TimeLeft/2 }
+
 // written tells that an attempt has reached a worker, or may have.
 func (r *request) written() bool {
 	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return !a.unseen })
