--- a/cmd/kitefall/main.go
+++ b/cmd/kitefall/main.go
@@ -23,7 +23,9 @@
 	"kitefall/internal/front/invoke"
 	"kitefall/internal/front/resp"
 	"kitefall/internal/life"
-	"kitefall/internal/ticket"
+	"kitefall/internal/steady"
+	"kitefall/internal/ticket/desk"
+	"kitefall/internal/ticket/store"
 	"kitefall/internal/worker"
 )
 
@@ -36,6 +38,8 @@
 	identityBy = 30 * time.Second
 	// storeBy is how long another process may hold the ticket store.
 	storeBy = 5 * time.Second
+	// clockAhead is how far the last run's clock may be ahead before it is worth a line.
+	clockAhead = time.Minute
 	// shutBy is how long requests of the invoke API may take to end.
 	shutBy = 5 * time.Second
 )
@@ -144,7 +148,7 @@
 // invokeFront is the invoke front and what stands behind it; empty if it is off.
 type invokeFront struct {
 	server   *invoke.Server
-	desk     *ticket.Desk
+	desk     *desk.Desk
 	identity *workloadapi.X509Source
 	core     *dispatch.Core
 }
@@ -160,11 +164,23 @@
 	if f.identity, err = invoke.Identify(ctx, c.WorkloadAPI); err != nil {
 		return nil, err
 	}
-	store, err := ticket.OpenStore(c.Store, c.MostTickets, c.Retention, time.Now().Add(storeBy))
+	kept := c.Kept()
+	kept.Durable.LockBy = time.Now().Add(storeBy)
+	kept.Durable.Check = true
+	tickets, err := store.Open(c.Store, kept)
 	if err != nil {
 		return nil, err
 	}
-	f.desk = ticket.NewDesk(store, core, c.Prepare)
+	latest, err := tickets.Seen(time.Now())
+	if err != nil {
+		return nil, err
+	}
+	if ahead := time.Until(latest); ahead > clockAhead {
+		log.Printf("tickets: the last run's clock was %v ahead of this one's; times go on from there", ahead.Round(time.Second))
+	}
+	if f.desk, err = desk.New(tickets, core, c, c.Plan(), steady.Start(latest)); err != nil {
+		return nil, err
+	}
 	if err := f.desk.Resume(); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/durable/durable.go
@@ -0,0 +1,483 @@
+// Package durable is a small ordered store of keys and values that survives the process: a write-ahead log for the
+// last moments, bbolt for all before. A change is on the disk once Do returns; changes that arrive together share one
+// sync, and none waits for company.
+//
+// One goroutine, the writer, carries out changes one after another, so that each sees those before it. What the log
+// has and bbolt has not is held in memory, and moves there in the background.
+package durable
+
+import (
+	"errors"
+	"fmt"
+	"log"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/tidwall/btree"
+	bolt "go.etcd.io/bbolt"
+
+	"kitefall/internal/failpoint"
+	"kitefall/internal/wal"
+)
+
+// Errors of a DB.
+var (
+	ErrClosed  = errors.New("the store is closed")
+	ErrBehind  = errors.New("the store cannot move its log to the file")
+	ErrFormat  = errors.New("the file is of another format")
+	ErrDamaged = errors.New("the file is damaged")
+	ErrHeld    = errors.New("another process holds the file")
+)
+
+// Options say how a DB is kept. Zero values stand for the usual ones.
+type Options struct {
+	FS        wal.FS        // of the log
+	Segment   uint32        // bytes of a segment of the log
+	Moves     int64         // bytes that may wait in memory before they move to the file
+	MoveEvery time.Duration // and the longest that they wait
+	MostHeld  int64         // bytes in memory at which changes are refused until some have moved
+	Group     int           // changes that share a sync at most
+	LockBy    time.Time     // how long another process may hold the file
+	ReadOnly  bool          // for a look at a file that no dispatcher holds; nothing is written
+	Check     bool          // look through all pages of the file first
+	Void      func()        // called by the writer when a group of changes came to nothing on the disk
+	Volatile  []string      // buckets, after the others, that end with the process and need no disk
+}
+
+func (o *Options) defaults() {
+	if o.FS == nil {
+		o.FS = wal.Disk{}
+	}
+	if o.Segment == 0 {
+		o.Segment = wal.DefaultSegment
+	}
+	if o.Moves == 0 {
+		o.Moves = 4 << 20
+	}
+	if o.MoveEvery == 0 {
+		o.MoveEvery = time.Second
+	}
+	if o.MostHeld == 0 {
+		o.MostHeld = 24 << 20
+	}
+	if o.Group == 0 {
+		o.Group = 512
+	}
+	if o.LockBy.IsZero() {
+		o.LockBy = time.Now().Add(time.Second)
+	}
+}
+
+// The bucket of the DB's own, and its keys.
+var (
+	meta       = []byte("kitefall")
+	formatKey  = []byte("format")
+	appliedKey = []byte("applied") // sequence of the last record of the log that the file holds
+)
+
+// layer is a set of changes; a value of nil stands for a key that is gone.
+type layer struct {
+	keys btree.Map[string, []byte] // bucket byte, then key
+	size int64
+	last uint64 // sequence of its last record
+}
+
+func (l *layer) set(k string, v []byte) {
+	old, had := l.keys.Set(k, v)
+	if l.size += int64(len(v) - len(old)); !had {
+		l.size += int64(len(k)) + perKey
+	}
+}
+
+// perKey is roughly what an entry of a layer costs beside its bytes.
+const perKey = 64
+
+// DB is an open store. Its zero value is not usable: see Open.
+type DB struct {
+	path    string
+	format  string
+	buckets [][]byte // by the byte that stands for each; those from here on are volatile
+	options Options
+
+	ops    chan *op
+	move   chan struct{} // a layer is frozen
+	tasks  chan *task    // for the mover, between moves
+	closed chan struct{}
+	ended  chan struct{} // the writer has ended
+	ending sync.Once
+	work   sync.WaitGroup
+
+	mu      sync.RWMutex // guards what follows; who reads the file holds it too
+	file    *bolt.DB
+	active  *layer // the writer's
+	frozen  *layer // on its way to the file; nil: none
+	applied uint64 // sequence of the last record that the file holds
+	passing layer  // of the volatile buckets
+
+	log *wal.Log // the writer's
+}
+
+type op struct {
+	do   func(*Tx) error
+	done chan error
+}
+
+type task struct {
+	do   func() error
+	done chan error
+}
+
+// LogDir is where the log of the store at path lies.
+func LogDir(path string) string { return path + ".log" }
+
+// Open opens or makes the store at path, with the named buckets, at most 250. What does not check out is refused
+// and left as it is. The format names what the buckets hold: a file of another one is refused.
+func Open(path, format string, buckets []string, o Options) (db *DB, err error) {
+	defer func() { // bbolt panics on some broken files
+		if p := recover(); p != nil {
+			db, err = nil, fmt.Errorf("%w: %s: %v", ErrDamaged, path, p)
+		}
+	}()
+	o.defaults()
+	db = &DB{path: path, format: format, options: o, ops: make(chan *op, 4096), move: make(chan struct{}, 1),
+		tasks: make(chan *task), closed: make(chan struct{}), ended: make(chan struct{}), active: &layer{}}
+	for _, b := range buckets {
+		db.buckets = append(db.buckets, []byte(b))
+	}
+	if info, err := os.Stat(path); err == nil && info.Size() == 0 {
+		return nil, fmt.Errorf("%w: %s is empty", ErrDamaged, path)
+	}
+	if err := db.complete(); err != nil {
+		return nil, err
+	}
+	db.file, err = bolt.Open(path, 0o600, &bolt.Options{Timeout: time.Until(o.LockBy), ReadOnly: o.ReadOnly,
+		FreelistType: bolt.FreelistMapType})
+	if errors.Is(err, bolt.ErrTimeout) {
+		return nil, fmt.Errorf("%w: %s", ErrHeld, path)
+	} else if err != nil {
+		return nil, fmt.Errorf("%w: %s: %v", ErrDamaged, path, err)
+	}
+	fail := func(err error) (*DB, error) {
+		db.file.Close()
+		return nil, err
+	}
+	if db.applied, err = db.begin(); err != nil {
+		return fail(err)
+	}
+	applied := db.applied
+	dir := LogDir(path)
+	if segments, err := wal.Segments(dir); err == nil && len(segments) == 0 && applied > 0 {
+		return fail(fmt.Errorf("%w: the log in %s is missing", ErrDamaged, dir))
+	}
+	next, end, err := wal.Replay(dir, applied, func(sequence uint64, payload []byte) error {
+		db.active.last = sequence
+		return decodeGroup(payload, len(db.buckets), func(k string, v []byte) { db.active.set(k, v) })
+	})
+	if err != nil {
+		return fail(err)
+	}
+	if next <= applied { // the log ends before the file does: it is not this file's
+		return fail(fmt.Errorf("%w: the log in %s ends at record %d, the file holds %d", ErrDamaged, dir, next-1, applied))
+	}
+	if db.active.last == 0 {
+		db.active.last = applied
+	}
+	if o.ReadOnly {
+		return db, nil
+	}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return fail(err)
+	}
+	if db.log, err = wal.Open(o.FS, dir, o.Segment, next, end); err != nil {
+		return fail(err)
+	}
+	db.freeze()
+	db.work.Go(db.write)
+	db.work.Go(db.moveAll)
+	return db, nil
+}
+
+// complete tells whether the file has all its pages. One that was cut short would be mapped all the same, and the
+// first look at a page that is not there would end the process.
+func (db *DB) complete() error {
+	info, err := os.Stat(db.path)
+	if errors.Is(err, os.ErrNotExist) && !db.options.ReadOnly {
+		return nil
+	} else if err != nil {
+		return err
+	}
+	f, err := bolt.Open(db.path, 0o600, &bolt.Options{Timeout: time.Until(db.options.LockBy), ReadOnly: true})
+	if errors.Is(err, bolt.ErrTimeout) {
+		return fmt.Errorf("%w: %s", ErrHeld, db.path)
+	} else if err != nil {
+		return fmt.Errorf("%w: %s: %v", ErrDamaged, db.path, err)
+	}
+	defer f.Close()
+	return f.View(func(tx *bolt.Tx) error {
+		if tx.Size() > info.Size() {
+			return fmt.Errorf("%w: %s has %d bytes of %d", ErrDamaged, db.path, info.Size(), tx.Size())
+		}
+		return nil
+	})
+}
+
+// begin checks the file, makes what is missing in a new one, and returns what it holds of the log.
+func (db *DB) begin() (applied uint64, err error) {
+	look := func(tx *bolt.Tx) error {
+		m := tx.Bucket(meta)
+		if m == nil {
+			return fmt.Errorf("%w: %s is none of this program's", ErrFormat, db.path)
+		}
+		if f := string(m.Get(formatKey)); f != db.format {
+			return fmt.Errorf("%w: %s holds %q, this program reads %q", ErrFormat, db.path, f, db.format)
+		}
+		applied = number(m.Get(appliedKey))
+		return nil
+	}
+	err = db.file.View(func(tx *bolt.Tx) error {
+		if name, _ := tx.Cursor().First(); name == nil && !db.options.ReadOnly {
+			return nil // new
+		}
+		if err := look(tx); err != nil || !db.options.Check {
+			return err
+		}
+		return db.check(tx)
+	})
+	if err != nil || db.options.ReadOnly {
+		return applied, err
+	}
+	return applied, db.file.Update(func(tx *bolt.Tx) error {
+		for _, b := range append(db.buckets, meta) {
+			if _, err := tx.CreateBucketIfNotExists(b); err != nil {
+				return err
+			}
+		}
+		return tx.Bucket(meta).Put(formatKey, []byte(db.format))
+	})
+}
+
+// Do carries out a change: do reads and writes by the Tx, on the writer's goroutine, and must not wait for anything.
+// When Do returns nil, what it wrote is on the disk. An error of do itself takes back all that it wrote.
+func (db *DB) Do(do func(*Tx) error) error {
+	o := &op{do: do, done: make(chan error, 1)}
+	select {
+	case db.ops <- o:
+	case <-db.closed:
+		return ErrClosed
+	}
+	select {
+	case err := <-o.done:
+		return err
+	case <-db.ended: // whatever the writer did with it, it has done by now
+		select {
+		case err := <-o.done:
+			return err
+		default:
+			return ErrClosed
+		}
+	}
+}
+
+// write is the writer.
+func (db *DB) write() {
+	defer close(db.ended)
+	tick := time.NewTicker(db.options.MoveEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case o := <-db.ops:
+			db.group(o)
+		case <-tick.C:
+			db.freeze()
+			db.mu.RLock()
+			applied := db.applied
+			db.mu.RUnlock()
+			if err := db.log.Release(applied); err != nil {
+				log.Printf("store: a segment of the log stays: %v", err)
+			}
+		case <-db.closed:
+			return
+		}
+		db.mu.RLock()
+		full := db.active.size >= db.options.Moves
+		db.mu.RUnlock()
+		if full {
+			db.freeze()
+		}
+	}
+}
+
+// group carries out what waits, with one record of the log.
+func (db *DB) group(first *op) {
+	tx := &Tx{db: db}
+	var done []*op
+	for o := first; o != nil; {
+		tx.mark()
+		if err := db.room(); err != nil {
+			o.done <- err
+		} else if err := errors.Join(o.do(tx), tx.failed); err != nil {
+			tx.rollback()
+			o.done <- err
+		} else {
+			done = append(done, o)
+		}
+		o = nil
+		if len(done) < db.options.Group && tx.bytes < int(db.options.Segment)/4 {
+			select {
+			case o = <-db.ops:
+			default:
+			}
+		}
+	}
+	err := db.publish(&tx.writes)
+	if err != nil && db.options.Void != nil {
+		db.options.Void()
+	}
+	for _, o := range done {
+		o.done <- err
+	}
+}
+
+// publish puts a group's changes on the disk and then before all readers.
+func (db *DB) publish(writes *btree.Map[string, []byte]) error {
+	if writes.Len() == 0 {
+		return nil
+	}
+	record := encodeGroup(writes, len(db.buckets))
+	if len(record) > 0 {
+		if err := db.log.Append(record); err != nil {
+			return err
+		}
+	}
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	writes.Scan(func(k string, v []byte) bool {
+		switch {
+		case int(k[0]) < len(db.buckets):
+			db.active.set(k, v)
+		case v == nil:
+			db.passing.keys.Delete(k)
+		default:
+			db.passing.keys.Set(k, v)
+		}
+		return true
+	})
+	if len(record) > 0 {
+		db.active.last = db.log.Next() - 1
+	}
+	return nil
+}
+
+// room refuses changes while too much waits in memory for a file that cannot be written.
+func (db *DB) room() error {
+	db.mu.RLock()
+	defer db.mu.RUnlock()
+	held := db.active.size
+	if db.frozen != nil {
+		held += db.frozen.size
+	}
+	if held > db.options.MostHeld {
+		return ErrBehind
+	}
+	return nil
+}
+
+// freeze sets the present layer aside to be moved, unless one is on its way.
+func (db *DB) freeze() {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	if db.frozen != nil || db.active.keys.Len() == 0 {
+		return
+	}
+	db.frozen, db.active = db.active, &layer{last: db.active.last}
+	select {
+	case db.move <- struct{}{}:
+	default:
+	}
+}
+
+// again is the pause before a move that failed is tried again.
+const again = time.Second
+
+func (db *DB) moveAll() {
+	for {
+		select {
+		case <-db.move:
+		case t := <-db.tasks:
+			t.done <- t.do()
+			continue
+		case <-db.closed:
+			return
+		}
+		for {
+			err := db.moveOne()
+			if err == nil {
+				break
+			}
+			log.Printf("store: the log is not moved to %s yet: %v", db.path, err)
+			select {
+			case <-time.After(again):
+			case <-db.closed:
+				return
+			}
+		}
+	}
+}
+
+// moveOne writes the frozen layer to the file.
+func (db *DB) moveOne() error {
+	db.mu.RLock()
+	f := db.frozen
+	db.mu.RUnlock()
+	if f == nil {
+		return nil
+	}
+	failpoint.Hit("move-before")
+	err := db.file.Update(func(tx *bolt.Tx) error {
+		var err error
+		f.keys.Scan(func(k string, v []byte) bool { // in order: each page is touched once
+			b := tx.Bucket(db.buckets[k[0]])
+			if v == nil {
+				err = b.Delete([]byte(k[1:]))
+			} else {
+				err = b.Put([]byte(k[1:]), seal(k[1:], v))
+			}
+			return err == nil
+		})
+		if err == nil {
+			err = tx.Bucket(meta).Put(appliedKey, bytesOf(f.last))
+		}
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	failpoint.Hit("move-after")
+	db.mu.Lock()
+	db.frozen, db.applied = nil, f.last
+	db.mu.Unlock()
+	return nil
+}
+
+// Close stops the writer. What is on the disk stays there; the log is replayed at the next start.
+func (db *DB) Close() error {
+	var err error
+	db.ending.Do(func() {
+		close(db.closed)
+		db.work.Wait()
+		if db.log != nil {
+			err = db.log.Close()
+		}
+		err = errors.Join(err, db.file.Close())
+	})
+	return err
+}
+
+// Files are the paths that belong to the store at path.
+func Files(path string) []string {
+	found := []string{path}
+	segments, _ := filepath.Glob(filepath.Join(LogDir(path), "*.log"))
+	return append(found, segments...)
+}
--- a/internal/front/invoke/config.go
+++ b/internal/front/invoke/config.go
@@ -11,7 +11,10 @@
 	"github.com/spiffe/go-spiffe/v2/spiffeid"
 
 	"kitefall/internal/call"
+	"kitefall/internal/schedule"
 	"kitefall/internal/ticket"
+	"kitefall/internal/ticket/desk"
+	"kitefall/internal/ticket/store"
 	"kitefall/rules"
 )
 
@@ -24,6 +27,7 @@
 	MostWait    time.Duration        `toml:"most_wait"`    // a poll may wait this long
 	MostOpen    int                  `toml:"most_open"`    // requests in hand
 	MostTickets int64                `toml:"most_tickets"` // tickets kept
+	Deferred    Deferred             `toml:"deferred"`
 	Connections int                  `toml:"connections"`
 	Tenants     map[string]string    `toml:"tenants"` // SPIFFE ID to tenant
 	Functions   map[string]*Function `toml:"functions"`
@@ -31,6 +35,26 @@
 	ids map[spiffeid.ID]string
 }
 
+// Deferred bounds calls that nobody waits for on a connection. What is left out has the value of schedule.Default.
+type Deferred struct {
+	DeadRetention time.Duration `toml:"dead_retention"` // dead letters are kept this long
+	TenantTickets int64         `toml:"tenant_tickets"` // kept of one tenant; 0: no bound of its own
+	TenantMB      int64         `toml:"tenant_mb"`      // bodies and results of one tenant
+	LeastRunning  int           `toml:"least_running"`
+	MostRunning   int           `toml:"most_running"`
+	PerFunction   int           `toml:"most_per_function"`
+	MostRuns      int           `toml:"most_runs"`
+	Backoff       time.Duration `toml:"backoff"`
+	MostBackoff   time.Duration `toml:"most_backoff"`
+	RetryShare    float64       `toml:"retry_share"`
+	RetryFloor    float64       `toml:"retry_per_second"`
+	Gather        time.Duration `toml:"gather"`
+	GatherRuns    int           `toml:"gather_runs"`
+	Starve        time.Duration `toml:"starve"`
+
+	plan schedule.Config
+}
+
 // Function is an entry of the catalogue: what devices may ask for, and the figures of its copies.
 type Function struct {
 	Class       string        `toml:"class"`
@@ -41,6 +65,8 @@
 	Work        time.Duration `toml:"work"`
 	Deadline    time.Duration `toml:"deadline"`      // where none is asked for
 	MostTime    time.Duration `toml:"most_deadline"` // the longest that may be asked for
+	Life        time.Duration `toml:"life"`          // of a deferred call, where none is asked for
+	MostLife    time.Duration `toml:"most_life"`     // the longest that may be asked for
 	MostBody    int64         `toml:"most_body"`
 	ContentType string        `toml:"content_type"` // of request and result
 
@@ -51,6 +77,11 @@
 func ReadConfig(path string, settings rules.Settings) (*Config, error) {
 	c := &Config{Retention: 24 * time.Hour, MostWait: 20 * time.Second, MostOpen: 512, MostTickets: 100_000,
 		Connections: 128, ids: map[spiffeid.ID]string{}}
+	usual := schedule.Default()
+	c.Deferred = Deferred{DeadRetention: 7 * 24 * time.Hour, LeastRunning: usual.LeastRuns, MostRunning: usual.MostRunning,
+		PerFunction: usual.MostPerFunction, MostRuns: usual.MostRuns, Backoff: usual.Backoff, MostBackoff: usual.MostBackoff,
+		RetryShare: usual.RetryShare, RetryFloor: usual.RetryFloor, Gather: usual.Gather, GatherRuns: usual.GatherRuns,
+		Starve: usual.Starve}
 	meta, err := toml.DecodeFile(path, c)
 	if err != nil {
 		return nil, err
@@ -83,6 +114,12 @@
 		if f.MostBody == 0 {
 			f.MostBody = call.MostBody
 		}
+		if f.MostLife == 0 {
+			f.MostLife = 24 * time.Hour
+		}
+		if f.Life == 0 {
+			f.Life = min(time.Hour, f.MostLife)
+		}
 		if f.ContentType == "" {
 			f.ContentType = "application/json"
 		}
@@ -92,22 +129,75 @@
 			err = errors.Join(err, fmt.Errorf("function %s: most_deadline is over the %v of class %s", name,
 				class.Deadline, f.Class))
 		}
-		if !ok || !call.Hex16(f.Key) || f.Deadline <= 0 || f.MostTime < f.Deadline || f.MostBody > call.MostBody {
-			err = errors.Join(err, fmt.Errorf("function %s: class, key, deadlines or most_body cannot work", name))
+		if !ok || !call.Hex16(f.Key) || f.Deadline <= 0 || f.MostTime < f.Deadline || f.MostBody > call.MostBody ||
+			f.MostBody < 0 || f.Life < f.Deadline || f.MostLife < f.Life || f.MostLife > mostLife {
+			err = errors.Join(err, fmt.Errorf("function %s: class, key, deadlines, lives or most_body cannot work", name))
 		}
 	}
+	err = errors.Join(err, c.Deferred.check(settings))
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return c, nil
 }
 
-// Prepare makes the call of an order, with the figures of the catalogue.
-func (c *Config) Prepare(o ticket.Order) (*call.Call, bool, error) {
-	f := c.Functions[o.Name]
+// mostLife is the longest life of a deferred call.
+const mostLife = 30 * 24 * time.Hour
+
+// check makes the scheduler's settings, with the shares of the tenants and the worth of the classes.
+func (d *Deferred) check(settings rules.Settings) error {
+	p := schedule.Default()
+	p.LeastRuns, p.MostRunning, p.MostPerFunction = d.LeastRunning, d.MostRunning, d.PerFunction
+	p.MostRuns, p.Backoff, p.MostBackoff = d.MostRuns, d.Backoff, d.MostBackoff
+	p.RetryShare, p.RetryFloor = d.RetryShare, d.RetryFloor
+	p.Gather, p.GatherRuns, p.Starve = d.Gather, d.GatherRuns, d.Starve
+	p.Tenants, p.Classes = map[string]float64{}, map[string]float64{}
+	for _, t := range settings.Tenants {
+		if t.Share > 0 {
+			p.Tenants[t.Name] = t.Share
+		}
+	}
+	for _, g := range settings.Classes {
+		p.Classes[g.Name] = g.Worth
+	}
+	d.plan = p
+	err := p.Validate()
+	if d.DeadRetention <= 0 || d.TenantTickets < 0 || d.TenantMB < 0 {
+		err = errors.Join(err, errors.New("dead_retention, tenant_tickets or tenant_mb cannot work"))
+	}
+	if err != nil {
+		return fmt.Errorf("deferred: %w", err)
+	}
+	return nil
+}
+
+// Plan is how deferred calls are scheduled.
+func (c *Config) Plan() schedule.Config { return c.Deferred.plan }
+
+// Kept bounds the store.
+func (c *Config) Kept() store.Options {
+	return store.Options{Retention: c.Retention, DeadRetention: c.Deferred.DeadRetention, MostTickets: c.MostTickets,
+		TenantTickets: c.Deferred.TenantTickets, TenantBytes: c.Deferred.TenantMB << 20}
+}
+
+// Describe tells what the scheduler needs to know of a function.
+func (c *Config) Describe(name string) (desk.Function, bool) {
+	f := c.Functions[name]
+	if f == nil {
+		return desk.Function{}, false
+	}
+	return desk.Function{Key: f.Key, Cost: max(f.Work.Seconds(), leastCost)}, true
+}
+
+// leastCost is what a run counts at the least, in seconds: it takes a place and a frame each way.
+const leastCost = 0.01
+
+// Call makes the call of an order, with the figures of the catalogue.
+func (c *Config) Call(o *ticket.Order) (*call.Call, error) {
+	f := c.Functions[o.Function]
 	if f == nil {
-		return nil, false, fmt.Errorf("no function %q", o.Name)
+		return nil, fmt.Errorf("no function %q", o.Function)
 	}
 	return &call.Call{Class: f.Class, Tenant: o.Tenant, Function: f.Key, Work: f.Work, Memory: f.MemoryMB,
-		Lanes: f.Lanes, LoadTime: f.Load, Body: o.Body, Deadline: o.Deadline}, f.safe, nil
+		Lanes: f.Lanes, LoadTime: f.Load, Body: o.Body}, nil
 }
--- a/internal/front/invoke/invoke_test.go
+++ b/internal/front/invoke/invoke_test.go
@@ -19,13 +19,17 @@
 	"kitefall/internal/dispatch"
 	"kitefall/internal/front/invoke"
 	"kitefall/internal/standin"
+	"kitefall/internal/steady"
 	"kitefall/internal/ticket"
+	"kitefall/internal/ticket/desk"
+	"kitefall/internal/ticket/store"
 )
 
 const operators = `
 listen = "127.0.0.1:0"
 workload_api = "unused"
 store = "unused"
+retention = "1h"
 [tenants]
 "spiffe://turnos.example/desk/a" = "a"
 "spiffe://turnos.example/desk/b" = "b"
@@ -55,8 +59,8 @@
 	path   string
 	url    string
 	core   *dispatch.Core
-	store  *ticket.Store
-	desk   *ticket.Desk
+	store  *store.Store
+	desk   *desk.Desk
 	server *invoke.Server
 	a, b   *http.Client
 }
@@ -80,9 +84,10 @@
 	require.NoError(e.t, err)
 	e.t.Cleanup(func() { id.Close() })
 	e.core = standin.NewCore(e.t, workers...)
-	e.store, err = ticket.OpenStore(e.path, 1000, time.Hour, standin.By())
+	e.store, err = store.Open(e.path, c.Kept())
+	require.NoError(e.t, err)
+	e.desk, err = desk.New(e.store, e.core, c, c.Plan(), steady.Start(time.Now()))
 	require.NoError(e.t, err)
-	e.desk = ticket.NewDesk(e.store, e.core, c.Prepare)
 	require.NoError(e.t, e.desk.Resume())
 	e.server = invoke.New(c, e.desk, id)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -371,6 +376,6 @@
 	assert.Equal(t, []any{503, "storage", true}, []any{a.status, a.problem, a.retry})
 	assert.Equal(t, 1, w.Runs(`"slot"`), "what is not on record does not run")
 	require.NoError(t, os.WriteFile(e.path, []byte(strings.Repeat("no database ", 4096)), 0o600))
-	_, err := ticket.OpenStore(e.path, 1000, time.Hour, standin.By())
+	_, err := store.Open(e.path, store.Options{})
 	assert.ErrorIs(t, err, ticket.ErrStore)
 }
--- a/internal/front/invoke/problem.go
+++ b/internal/front/invoke/problem.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"kitefall/internal/ticket"
+	"kitefall/internal/ticket/desk"
 )
 
 // problem is an RFC 9457 problem document, with two members of ours.
@@ -18,8 +19,9 @@
 	Status     int    `json:"status"`
 	Detail     string `json:"detail,omitempty"`
 	Instance   string `json:"instance,omitempty"`
-	Retryable  bool   `json:"retryable"`    // another try does no harm
-	MayHaveRun bool   `json:"may_have_run"` // the function may have run, or run still
+	Retryable  bool   `json:"retryable"`      // another try does no harm
+	MayHaveRun bool   `json:"may_have_run"`   // the function may have run, or run still
+	Heir       string `json:"heir,omitempty"` // the ticket that the operators have had go again for this one
 
 	retryAt time.Time
 }
@@ -71,6 +73,8 @@
 		return newProblem(http.StatusUnprocessableEntity, "key-reused", "The Idempotency-Key belongs to another request")
 	case errors.Is(err, ticket.ErrFull):
 		return refused(time.Now().Add(time.Minute)).because("too many tickets are kept")
+	case errors.Is(err, ticket.ErrQuota):
+		return refused(time.Now().Add(time.Minute)).because("this tenant has too many tickets, or too large ones")
 	default: // nothing was taken on that is not on record
 		p := newProblem(http.StatusServiceUnavailable, "storage", "Calls cannot be put on record at present")
 		p.Retryable, p.retryAt = true, time.Now().Add(10*time.Second)
@@ -79,7 +83,7 @@
 }
 
 // problemOfEnd words the end of a ticket that was not served.
-func problemOfEnd(t *ticket.Ticket, safe bool) *problem {
+func problemOfEnd(t desk.View, safe bool) *problem {
 	var p *problem
 	switch {
 	case t.End == ticket.Refused:
@@ -96,6 +100,12 @@
 		p = newProblem(http.StatusInternalServerError, "failed", "The call failed before it ran")
 		p.Retryable = true
 	}
-	p.MayHaveRun, p.Instance = t.MayHaveRun, path(t.ID)
+	p.MayHaveRun = t.MayHaveRun
+	if t.OnRecord {
+		p.Instance = path(t.ID)
+	}
+	if t.Heir != "" {
+		p.Heir = path(t.Heir)
+	}
 	return p
 }
--- a/internal/front/invoke/server.go
+++ b/internal/front/invoke/server.go
@@ -24,11 +24,14 @@
 	"golang.org/x/net/netutil"
 
 	"kitefall/internal/ticket"
+	"kitefall/internal/ticket/desk"
 )
 
 const (
 	timeoutHeader = "Request-Timeout" // seconds until the deadline that the client asks for
+	delayHeader   = "Request-Delay"   // seconds before which no run of a deferred call begins
 	keyHeader     = "Idempotency-Key"
+	urgencyHeader = "Priority" // RFC 9218
 	mostKey       = 255
 	slack         = 250 * time.Millisecond // past a call's deadline, for its answer to be stored
 	readBy        = 10 * time.Second       // poor links are slow, but a request is small
@@ -40,7 +43,7 @@
 // Server answers the invoke API.
 type Server struct {
 	config *Config
-	desk   *ticket.Desk
+	desk   *desk.Desk
 	http   *http.Server
 	room   chan struct{}
 	ending atomic.Bool
@@ -58,7 +61,7 @@
 }
 
 // New returns a server; Serve starts it.
-func New(c *Config, d *ticket.Desk, id Identity) *Server {
+func New(c *Config, d *desk.Desk, id Identity) *Server {
 	s := &Server{config: c, desk: d, room: make(chan struct{}, c.MostOpen)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/v1/functions/{function}/invocations", s.methods(map[string]handler{http.MethodPost: s.create}))
@@ -146,25 +149,30 @@
 	if s.ending.Load() {
 		return refused(now.Add(time.Second)).because("the dispatcher is being restarted")
 	}
-	o, p := s.order(w, r, tenant, now)
+	prefer := preferences(r)
+	_, async := prefer["respond-async"]
+	o, p := s.order(w, r, tenant, async, now)
 	if p != nil {
 		return p
 	}
-	prefer := preferences(r)
 	until, p := s.until(prefer, now)
 	if p != nil {
 		return p
 	}
-	t, err := s.desk.Take(o)
-	if err != nil {
-		return problemOf(err)
+	if !async {
+		ctx, cancel := context.WithDeadline(r.Context(), o.Expires.Add(slack))
+		defer cancel()
+		v, err := s.desk.Invoke(ctx, o)
+		return s.tell(w, v, err)
 	}
-	if _, async := prefer["respond-async"]; async {
+	v, err := s.desk.Defer(o)
+	if err == nil {
 		w.Header().Set("Preference-Applied", "respond-async")
-	} else {
-		until = t.Deadline.Add(slack)
+		if until.After(now) {
+			return s.show(w, r, until, tenant, v.ID)
+		}
 	}
-	return s.show(w, r, until, tenant, t.ID)
+	return s.tell(w, v, err)
 }
 
 // until is how long the client prefers to wait, within the operator's bound; now, if it does not say.
@@ -181,7 +189,7 @@
 }
 
 // order reads and checks a request. What the workers need to know comes from the catalogue alone.
-func (s *Server) order(w http.ResponseWriter, r *http.Request, tenant string, now time.Time) (ticket.Order, *problem) {
+func (s *Server) order(w http.ResponseWriter, r *http.Request, tenant string, async bool, now time.Time) (ticket.Order, *problem) {
 	name := r.PathValue("function")
 	f := s.config.Functions[name]
 	if f == nil {
@@ -196,13 +204,28 @@
 	if len(key) > mostKey || len(r.Header.Values(keyHeader)) > 1 {
 		return ticket.Order{}, badRequest(keyHeader + " is too long, or given twice")
 	}
-	deadline := now.Add(f.Deadline)
-	if asked := r.Header.Get(timeoutHeader); asked != "" {
-		seconds, err := strconv.ParseFloat(asked, 64)
-		if err != nil || !(seconds > 0 && seconds < mostSeconds) {
-			return ticket.Order{}, badRequest(timeoutHeader + " is a number of seconds above 0")
+	o := ticket.Order{Tenant: tenant, Key: key, Function: name, Class: f.Class, Safe: f.safe, Deferred: async,
+		Urgency: urgency(r), Patience: f.MostTime}
+	life, most := f.Deadline, f.MostTime
+	if async {
+		life, most = f.Life, f.MostLife
+	}
+	asked, p := seconds(r, timeoutHeader)
+	if p != nil {
+		return o, p
+	}
+	if asked > 0 {
+		life = min(asked, most)
+	}
+	o.Expires = now.Add(life)
+	if asked, p = seconds(r, delayHeader); p != nil {
+		return o, p
+	}
+	if asked > 0 {
+		if !async || asked >= life {
+			return o, badRequest(delayHeader + " is for deferred calls, and less than their life")
 		}
-		deadline = now.Add(min(time.Duration(seconds*float64(time.Second)), f.MostTime))
+		o.NotBefore = now.Add(asked)
 	}
 	// A read deadline left in force would end the wait for the answer too: it is for the body alone.
 	reading := http.NewResponseController(w)
@@ -218,8 +241,32 @@
 	sum := sha256.New()
 	fmt.Fprintf(sum, "%q\n", name)
 	sum.Write(body)
-	return ticket.Order{Tenant: tenant, Key: key, Fingerprint: sum.Sum(nil), Name: name, Body: body,
-		Deadline: deadline}, nil
+	o.Fingerprint, o.Body = sum.Sum(nil), body
+	return o, nil
+}
+
+// seconds reads a header that is a number of seconds above 0; 0: there is none.
+func seconds(r *http.Request, header string) (time.Duration, *problem) {
+	text := r.Header.Get(header)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(n > 0 && n <= mostSeconds) {
+		return 0, badRequest(header + " is a number of seconds above 0")
+	}
+	return time.Duration(n * float64(time.Second)), nil
+}
+
+// urgency reads the u of the Priority header. As RFC 9218, section 4, has it, what cannot be read counts as not there.
+func urgency(r *http.Request) ticket.Urgency {
+	for _, part := range strings.Split(strings.Join(r.Header.Values(urgencyHeader), ","), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if n, err := strconv.Atoi(value); name == "u" && err == nil && n >= 0 && n <= 7 {
+			return ticket.Urgency(n)
+		}
+	}
+	return ticket.DefaultUrgency
 }
 
 func (s *Server) poll(w http.ResponseWriter, r *http.Request, tenant string) *problem {
@@ -231,12 +278,12 @@
 }
 
 func (s *Server) giveUp(w http.ResponseWriter, r *http.Request, tenant string) *problem {
-	t, err := s.desk.GiveUp(tenant, r.PathValue("ticket"))
+	v, err := s.desk.GiveUp(tenant, r.PathValue("ticket"))
 	if err != nil {
 		return problemOf(err)
 	}
-	if t.End != ticket.GivenUp { // the answer came first, and stays
-		return s.final(w, t)
+	if v.End != ticket.GivenUp { // the answer came first, and stays
+		return s.final(w, v)
 	}
 	w.WriteHeader(http.StatusNoContent)
 	return nil
@@ -246,37 +293,44 @@
 func (s *Server) show(w http.ResponseWriter, r *http.Request, until time.Time, tenant, id string) *problem {
 	ctx, cancel := context.WithDeadline(r.Context(), until)
 	defer cancel()
-	t, err := s.desk.Wait(ctx, tenant, id)
+	v, err := s.desk.Wait(ctx, tenant, id)
+	return s.tell(w, v, err)
+}
+
+func (s *Server) tell(w http.ResponseWriter, v desk.View, err error) *problem {
 	switch {
 	case err != nil:
 		return problemOf(err)
-	case t.End == ticket.Open:
-		return s.pending(w, t)
+	case v.State != ticket.Ended:
+		return s.pending(w, v)
 	default:
-		return s.final(w, t)
+		return s.final(w, v)
 	}
 }
 
-func (s *Server) pending(w http.ResponseWriter, t *ticket.Ticket) *problem {
+func (s *Server) pending(w http.ResponseWriter, v desk.View) *problem {
 	h := w.Header()
-	h.Set("Location", path(t.ID))
+	h.Set("Location", path(v.ID))
 	h.Set("Retry-After", "1")
 	h.Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusAccepted)
-	json.NewEncoder(w).Encode(map[string]any{"ticket": t.ID, "status": "pending", "deadline": t.Deadline})
+	json.NewEncoder(w).Encode(map[string]any{"ticket": v.ID, "status": "pending", "deadline": v.Expires,
+		"runs": v.Runs, "history": v.History})
 	return nil
 }
 
-func (s *Server) final(w http.ResponseWriter, t *ticket.Ticket) *problem {
-	f := s.config.Functions[t.Name]
-	w.Header().Set("Content-Location", path(t.ID))
-	if t.End != ticket.Served {
-		return problemOfEnd(t, f != nil && f.safe)
+func (s *Server) final(w http.ResponseWriter, v desk.View) *problem {
+	f := s.config.Functions[v.Function]
+	if v.OnRecord { // else there is nothing to ask for
+		w.Header().Set("Content-Location", path(v.ID))
+	}
+	if v.End != ticket.Served {
+		return problemOfEnd(v, f != nil && f.safe)
 	}
 	if f != nil {
 		w.Header().Set("Content-Type", f.ContentType)
 	}
-	w.Write(t.Result)
+	w.Write(v.Result)
 	return nil
 }
 
--- /dev/null
+++ b/internal/schedule/limit.go
@@ -0,0 +1,174 @@
+package schedule
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"time"
+)
+
+// Config holds the scheduler's bounds. Default gives usual ones.
+type Config struct {
+	Tenants map[string]float64 // weights; a tenant that is not named has 1
+	Classes map[string]float64 // worth
+
+	LeastRuns       int // runs in hand that are always allowed, unless nothing is served at all
+	MostRunning     int // runs in hand at most
+	MostPerFunction int // of them for one function
+
+	Starve     time.Duration // a ticket ready for longer goes before all others of its tenant
+	Gather     time.Duration // how long a run may wait for others of its function before a load is caused
+	GatherRuns int           // ... unless so many wait already
+	Warm       time.Duration // copies of a function are expected to stand this long after a run of it
+	OpenFloor  float64       // functions that are not warm, begun in 10 s ...
+	OpenShare  float64       // ... and for each run begun
+
+	MostRuns    int           // of one ticket
+	Backoff     time.Duration // bound on the pause after the first run, doubled for each further one
+	MostBackoff time.Duration
+	RetryShare  float64 // runs after the first, for each first one ...
+	RetryFloor  float64 // ... and each second
+	RetryBurst  float64 // and saved up at most
+
+	Slow      float64       // a run is slow when it takes this multiple of what the function's runs take at the least
+	DarkAfter int           // so many runs in a row without a served one, and ...
+	DarkFor   time.Duration // ... nothing served for so long: the fleet is dark
+	Probe     time.Duration // then one run at a time, so long apart
+	Yield     time.Duration // after a foreground call was turned away, no more room is taken for this long
+}
+
+const openSpan = 10 * time.Second
+
+// Default is a usual configuration.
+func Default() Config {
+	return Config{LeastRuns: 2, MostRunning: 64, MostPerFunction: 16, Starve: 30 * time.Second, Gather: 2 * time.Second,
+		GatherRuns: 8, Warm: 4 * time.Second, OpenFloor: 4, OpenShare: 0.1, MostRuns: 20, Backoff: 500 * time.Millisecond,
+		MostBackoff: 15 * time.Second, RetryShare: 0.2, RetryFloor: 5, RetryBurst: 20, Slow: 4, DarkAfter: 8,
+		DarkFor: time.Second, Probe: 500 * time.Millisecond, Yield: 500 * time.Millisecond}
+}
+
+// Validate tells what cannot work.
+func (c *Config) Validate() error {
+	var err error
+	need := func(ok bool, what string) {
+		if !ok {
+			err = errors.Join(err, errors.New(what))
+		}
+	}
+	need(c.LeastRuns >= 1 && c.MostRunning >= c.LeastRuns && c.MostPerFunction >= 1, "runs in hand: at least 1, and least below most")
+	need(c.Starve > 0 && c.Gather >= 0 && c.GatherRuns >= 1 && c.Warm > 0, "times of waiting: above 0")
+	need(c.OpenFloor > 0 && c.OpenShare >= 0, "functions begun: above 0")
+	need(c.MostRuns >= 1 && c.Backoff > 0 && c.MostBackoff >= c.Backoff, "runs of a ticket: at least 1, with a pause")
+	need(c.RetryShare >= 0 && c.RetryFloor > 0 && c.RetryBurst >= 0, "the budget for further runs: above 0")
+	need(c.Slow > 1 && c.DarkAfter >= 1 && c.DarkFor > 0 && c.Probe > 0 && c.Yield >= 0, "signs of a fleet in need: above 0")
+	for name, w := range c.Tenants {
+		need(w > 0 && !math.IsInf(w, 0), fmt.Sprintf("weight of tenant %s: above 0", name))
+	}
+	return err
+}
+
+// limit is how many runs may be in hand: it grows by one for each served run at first (a slow start), by one for
+// each round of served runs later, and shrinks when runs are turned away or slow, or the foreground is.
+type limit struct {
+	least, most float64
+	dark        bool
+	now         float64
+	threshold   float64 // the slow start ends here
+	cut         time.Time
+	yield       time.Time // no growth before
+	lastServed  time.Time
+	failures    int // in a row
+	probeAt     time.Time
+	config      *Config
+}
+
+func newLimit(c Config, now time.Time) limit {
+	return limit{least: float64(c.LeastRuns), most: float64(c.MostRunning), now: float64(c.LeastRuns),
+		threshold: float64(c.MostRunning) / 2, lastServed: now, config: &c}
+}
+
+func (l *limit) allowed() int {
+	if l.dark {
+		return 1
+	}
+	return int(l.now)
+}
+
+// open tells whether a run may begin now; opens, when one may.
+func (l *limit) open(now time.Time) bool { return !l.dark || !now.Before(l.probeAt) }
+
+func (l *limit) opens(now time.Time) time.Time {
+	if l.dark && now.Before(l.probeAt) {
+		return l.probeAt
+	}
+	return time.Time{}
+}
+
+func (l *limit) began(now time.Time) {
+	if l.dark {
+		l.probeAt = now.Add(l.config.Probe)
+	}
+}
+
+// cutAgain is how long after a cut the runs that were begun before it are still heard of.
+const cutAgain = 300 * time.Millisecond
+
+func (l *limit) shrink(now time.Time, by float64) {
+	if now.Sub(l.cut) < cutAgain {
+		return
+	}
+	l.cut = now
+	l.threshold = max(l.least, l.now/2)
+	l.now = max(l.least, l.now*by)
+}
+
+func (l *limit) served(now time.Time, busy int, slow bool) {
+	l.failures, l.lastServed = 0, now
+	if l.dark { // it serves again: from the start, since its workers may have come back empty
+		l.dark = false
+		l.now, l.threshold = l.least, max(l.least, l.threshold/2)
+		return
+	}
+	switch {
+	case slow:
+		l.shrink(now, 0.9)
+	case now.Before(l.yield) || float64(busy) < l.now/2: // room that is not used proves nothing
+	case l.now < l.threshold:
+		l.now = min(l.most, l.now+1)
+	default:
+		l.now = min(l.most, l.now+1/l.now)
+	}
+}
+
+func (l *limit) turned(now time.Time) {
+	l.failures++
+	l.shrink(now, 0.7)
+	if l.failures >= l.config.DarkAfter && now.Sub(l.lastServed) >= l.config.DarkFor {
+		l.dark = true
+	}
+}
+
+func (l *limit) foreground(now time.Time, turned bool) {
+	if turned {
+		l.shrink(now, 0.5)
+		l.yield = now.Add(l.config.Yield)
+	}
+}
+
+// latency follows how long a function's runs take.
+type latency struct {
+	floor  float64 // the least of late: it rises slowly, so that it follows a fleet that has become slower
+	smooth float64
+}
+
+func (l *latency) slow(took time.Duration, multiple float64) bool {
+	t := took.Seconds()
+	if l.floor == 0 {
+		l.floor, l.smooth = t, t
+		return false
+	}
+	l.floor = min(t, l.floor*1.01)
+	l.smooth += 0.2 * (t - l.smooth)
+	// Below a few milliseconds the system's own noise is larger than the workers'.
+	return l.smooth > multiple*l.floor && l.smooth > 0.02
+}
--- /dev/null
+++ b/internal/schedule/pick.go
@@ -0,0 +1,159 @@
+package schedule
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+func (f *function) isWarm(now time.Time) bool { return f.inFlight > 0 || now.Before(f.warm) }
+
+// pick chooses the next item to run, or says when to look again (zero: when something else happens).
+//
+// Tenants take turns by what each was served and its weight; one that has nothing to run, or only what still waits
+// for company, leaves its turn to the next. Within a tenant: what has waited longer than the bound on that first,
+// then items whose function is warm, since they cost no load, then other functions: those with enough items
+// waiting, or with one that has waited long enough for company.
+func (s *Scheduler) pick(now time.Time) (*item, time.Time) {
+	var turns []*tenant
+	for _, t := range s.tenants {
+		if t.ready.Len() > 0 {
+			turns = append(turns, t)
+		}
+	}
+	slices.SortFunc(turns, func(a, b *tenant) int {
+		if a.served != b.served {
+			if a.served < b.served {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.name, b.name)
+	})
+	var wake time.Time
+	for _, t := range turns {
+		it, again := s.pickOf(now, t)
+		if it != nil {
+			return it, time.Time{}
+		}
+		if !again.IsZero() && (wake.IsZero() || again.Before(wake)) {
+			wake = again
+		}
+	}
+	return nil, wake
+}
+
+func (s *Scheduler) pickOf(now time.Time, t *tenant) (*item, time.Time) {
+	// Nothing waits for ever behind what ranks higher: past the bound, the order is that of coming.
+	if oldest, _ := t.ready.Min(); now.Sub(oldest.since) >= s.config.Starve && s.hasRoom(oldest.queue.function) {
+		return oldest, time.Time{}
+	}
+	var warm, cold *item
+	coldReady := 0
+	wake := time.Time{}
+	later := func(at time.Time) {
+		if wake.IsZero() || at.Before(wake) {
+			wake = at
+		}
+	}
+	for _, q := range t.queues {
+		f, first := q.function, head(q)
+		if !s.hasRoom(f) {
+			continue
+		}
+		if f.isWarm(now) {
+			if warm == nil || byRank(first, warm) {
+				warm = first
+			}
+			continue
+		}
+		if at := s.gathered(now, f, first); now.Before(at) {
+			later(at)
+			continue
+		}
+		// Of equal rank, the function with the most waiting: its load serves the most.
+		if cold == nil || first.level > cold.level || first.level == cold.level && (f.ready > coldReady ||
+			f.ready == coldReady && byRank(first, cold)) {
+			cold, coldReady = first, f.ready
+		}
+	}
+	if cold != nil {
+		if at := s.opens.when(now, 1); now.Before(at) {
+			later(at)
+			cold = nil
+		}
+	}
+	switch {
+	case warm == nil:
+		return cold, wake
+	case cold != nil && cold.level > warm.level:
+		return cold, time.Time{}
+	default:
+		return warm, time.Time{}
+	}
+}
+
+// hasRoom keeps one function from taking all places: its copies run only so many at a time.
+func (s *Scheduler) hasRoom(f *function) bool { return f.inFlight < s.config.MostPerFunction }
+
+func head(q *queue) *item {
+	it, _ := q.items.Min()
+	return it
+}
+
+// gathered is when a function that is not warm may be opened for its first item: at once if enough wait for it, else
+// once that has waited for company, and in any case before its end comes near.
+func (s *Scheduler) gathered(now time.Time, f *function, first *item) time.Time {
+	s.opens.fill(now)
+	if f.ready >= s.config.GatherRuns || s.opens.tokens >= s.opens.most/2 { // loads are not scarce: why wait
+		return now
+	}
+	at := first.since.Add(s.config.Gather)
+	if near := first.Expires.Add(-endNear); near.Before(at) {
+		at = near
+	}
+	return at
+}
+
+// endNear is how long before its end a run no longer waits for company.
+const endNear = 5 * time.Second
+
+// bucket is a token bucket whose rate has a part by time and parts that are put in.
+type bucket struct {
+	rate, most, tokens float64
+	at                 time.Time
+}
+
+func (b *bucket) fill(now time.Time) {
+	if d := now.Sub(b.at); d > 0 {
+		b.tokens = min(b.most, b.tokens+b.rate*d.Seconds())
+		b.at = now
+	}
+}
+
+func (b *bucket) add(now time.Time, n float64) {
+	b.fill(now)
+	b.tokens = min(b.most, b.tokens+n)
+}
+
+func (b *bucket) take(now time.Time, n float64) bool {
+	b.fill(now)
+	if b.tokens < n {
+		return false
+	}
+	b.tokens -= n
+	return true
+}
+
+// when is the moment at which so many tokens will be there by time alone.
+func (b *bucket) when(now time.Time, n float64) time.Time {
+	b.fill(now)
+	if b.tokens >= n {
+		return now
+	}
+	if b.rate <= 0 {
+		return now.Add(time.Minute)
+	}
+	return now.Add(time.Duration(math.Ceil((n - b.tokens) / b.rate * float64(time.Second))))
+}
--- /dev/null
+++ b/internal/ticket/desk/desk.go
@@ -0,0 +1,476 @@
+// Package desk takes orders, has the core run them, and keeps their answers. What a ticket may do next is decided by
+// package ticket, which one runs next by package schedule; this package only carries out.
+//
+// A call that somebody waits for goes to the core at once, and to the disk no sooner than something could be lost: a
+// reserva just before its first byte is written to a worker, any call with an Idempotency-Key before its answer is
+// told, a consulta without one never.
+package desk
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"log"
+	mathrand "math/rand/v2"
+	"sync"
+	"time"
+
+	"kitefall/internal/call"
+	"kitefall/internal/dispatch"
+	"kitefall/internal/failpoint"
+	"kitefall/internal/schedule"
+	"kitefall/internal/steady"
+	"kitefall/internal/ticket"
+	"kitefall/internal/ticket/store"
+)
+
+const (
+	sweepEvery = time.Minute
+	storeAgain = time.Second // pause before a final answer that could not be stored is tried again
+	adviceMost = time.Minute
+	adviceMin  = time.Second
+)
+
+// Core runs calls; see dispatch.Core.
+type Core interface {
+	Submit(*call.Call) (*dispatch.Handle, error)
+}
+
+// Function is what the desk needs to know of an entry of the catalogue.
+type Function struct {
+	Key  string  // the function's name at the workers: what a loaded copy serves
+	Cost float64 // of a run, against others
+}
+
+// Catalogue is what may be called.
+type Catalogue interface {
+	Describe(function string) (Function, bool)
+	// Call makes the call of a ticket's run; id and deadline are the desk's to set.
+	Call(o *ticket.Order) (*call.Call, error)
+}
+
+// View is a ticket as it stands, with its result if it was served.
+type View struct {
+	*ticket.Ticket
+	Result   []byte
+	OnRecord bool // it can be asked for by its id
+}
+
+// Desk takes orders and keeps their answers. Its zero value is not usable: see New.
+type Desk struct {
+	store     *store.Store
+	core      Core
+	catalogue Catalogue
+	clock     *steady.Clock
+	planner   *planner
+
+	mu     sync.Mutex
+	lives  map[string]*life    // tickets that are not on record, or were not when they were taken; until they end
+	claims map[string]*life    // tenant, 0, Idempotency-Key: of those
+	waits  map[string]*waiting // open tickets on record that somebody waits for
+	runs   map[string]*run     // of tickets on record
+
+	ctx  context.Context
+	stop context.CancelFunc
+	work sync.WaitGroup
+}
+
+// run is a run in hand of a ticket on record.
+type run struct {
+	handle  *dispatch.Handle
+	givenUp bool
+}
+
+type waiting struct {
+	done chan struct{} // closed once the ticket has ended
+	n    int
+}
+
+// New returns a desk that runs what it has under the scheduler's settings. Resume begins its work.
+func New(s *store.Store, c Core, cat Catalogue, plan schedule.Config, clock *steady.Clock) (*Desk, error) {
+	d := &Desk{store: s, core: c, catalogue: cat, clock: clock, lives: map[string]*life{}, claims: map[string]*life{},
+		waits: map[string]*waiting{}, runs: map[string]*run{}}
+	d.ctx, d.stop = context.WithCancel(context.Background())
+	planned, err := schedule.New(plan, mathrand.Uint64(), clock.Now())
+	if err != nil {
+		return nil, err
+	}
+	d.planner = newPlanner(d, planned)
+	return d, nil
+}
+
+// Resume takes up what an earlier run of the program left open, and begins to run and to sweep.
+func (d *Desk) Resume() error {
+	n, ended := 0, 0
+	var first []schedule.Event
+	err := d.store.Open(func(t *ticket.Ticket) error {
+		n++
+		f, known := d.catalogue.Describe(t.Function)
+		look := *t
+		_, e, err := ticket.Step(&look, ticket.Fact{Event: ticket.Restart}, d.clock.Now())
+		if err == nil && e&ticket.Store != 0 { // what needs no disk is not written: there may be very many
+			t, e, err = d.store.Apply(t.ID, ticket.Fact{Event: ticket.Restart}, nil, d.clock.Now())
+		}
+		if err != nil {
+			return err
+		}
+		if t.State != ticket.Ended && !known { // the operator has taken the function out of the catalogue
+			note := "function " + t.Function + " is not in the catalogue any more"
+			if t, e, err = d.store.Apply(t.ID, ticket.Fact{Event: ticket.Withdraw, Note: note}, nil, d.clock.Now()); err != nil {
+				return err
+			}
+		}
+		if e&ticket.Schedule != 0 {
+			first = append(first, schedule.AddEvent{Item: item(t, f)})
+		} else {
+			ended++
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	log.Printf("tickets: %d were open at the start, %d of them are ended now", n, ended)
+	d.work.Go(func() { d.planner.run(first) })
+	d.work.Go(d.sweep)
+	return nil
+}
+
+func (d *Desk) sweep() {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		now := d.clock.Now()
+		_, err := d.store.Seen(now)
+		if err = errors.Join(err, d.store.Sweep(now)); err != nil {
+			log.Printf("tickets: sweep failed: %v", err)
+		}
+		select {
+		case <-tick.C:
+		case <-d.ctx.Done():
+			return
+		}
+	}
+}
+
+// Close waits for what is being stored and closes the store. Open tickets stay open, for the next run.
+func (d *Desk) Close() error {
+	d.stop()
+	d.work.Wait()
+	return d.store.Close()
+}
+
+func item(t *ticket.Ticket, f Function) schedule.Item {
+	return schedule.Item{ID: t.ID, Tenant: t.Tenant, Class: t.Class, Function: f.Key, Urgency: uint8(t.Urgency),
+		Cost: f.Cost, NotBefore: t.Due, Expires: t.Expires, Runs: t.Runs}
+}
+
+// Defer puts an order on record and has it run in its time, or finds the ticket that its key has already.
+func (d *Desk) Defer(o ticket.Order) (View, error) {
+	o.Deferred = true
+	f, ok := d.catalogue.Describe(o.Function)
+	if !ok {
+		return View{}, ticket.ErrUnknown
+	}
+	if l, err := d.claimed(&o, nil); l != nil || err != nil {
+		return l.view(), err
+	}
+	now := d.clock.Now()
+	t := ticket.New(rand.Text(), o, now)
+	found, err := d.store.Create(t, nil, now)
+	if err != nil {
+		return View{}, err
+	}
+	if found != nil {
+		return d.viewOf(found)
+	}
+	failpoint.Hit("created")
+	d.planner.tell(schedule.AddEvent{Item: item(t, f)})
+	return View{Ticket: t, OnRecord: true}, nil
+}
+
+// Redrive has a dead letter go again; see store.Redrive.
+func (d *Desk) Redrive(id string, sure bool, reason string) (*ticket.Ticket, error) {
+	old, err := d.store.Get(id)
+	if err != nil {
+		return nil, err
+	}
+	f, ok := d.catalogue.Describe(old.Function)
+	if !ok {
+		return nil, ticket.ErrUnknown
+	}
+	t, err := d.store.Redrive(id, rand.Text(), sure, reason, d.clock.Now())
+	if err == nil {
+		d.planner.tell(schedule.AddEvent{Item: item(t, f)})
+	}
+	return t, err
+}
+
+// viewOf adds its result to a ticket on record.
+func (d *Desk) viewOf(t *ticket.Ticket) (v View, err error) {
+	v = View{Ticket: t, OnRecord: true}
+	if t.End == ticket.Served {
+		v.Result, err = d.store.Result(t.ID)
+	}
+	return v, err
+}
+
+// Wait returns a ticket of the tenant once it has ended, or as it stands when ctx ends.
+func (d *Desk) Wait(ctx context.Context, tenant, id string) (View, error) {
+	d.mu.Lock()
+	l := d.lives[id]
+	d.mu.Unlock()
+	if l != nil {
+		if l.tenant != tenant {
+			return View{}, ticket.ErrUnknown
+		}
+		return d.follow(ctx, l)
+	}
+	done, left := d.watch(id)
+	defer left()
+	t, err := d.get(tenant, id)
+	if err != nil {
+		return View{Ticket: t}, err
+	}
+	if t.State != ticket.Ended && ctx.Err() == nil {
+		select {
+		case <-done:
+		case <-ctx.Done():
+		}
+		if t, err = d.get(tenant, id); err != nil {
+			return View{Ticket: t}, err
+		}
+	}
+	return d.viewOf(t)
+}
+
+// watch has done closed at the end of a ticket; left tells that nobody waits any more.
+func (d *Desk) watch(id string) (done <-chan struct{}, left func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w := d.waits[id]
+	if w == nil {
+		w = &waiting{done: make(chan struct{})}
+		d.waits[id] = w
+	}
+	w.n++
+	return w.done, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if w.n--; w.n == 0 && d.waits[id] == w {
+			delete(d.waits, id)
+		}
+	}
+}
+
+// told wakes those who wait for a ticket that has its final answer on record.
+func (d *Desk) told(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if w := d.waits[id]; w != nil {
+		delete(d.waits, id)
+		close(w.done)
+	}
+}
+
+// get reads a ticket. To all but its owner there is no such ticket.
+func (d *Desk) get(tenant, id string) (*ticket.Ticket, error) {
+	t, err := d.store.Get(id)
+	if t == nil || t.Tenant != tenant {
+		if err == nil || !errors.Is(err, ticket.ErrStore) {
+			err = ticket.ErrUnknown
+		}
+		return nil, err
+	}
+	return t, err
+}
+
+// GiveUp ends a ticket for its owner. An answer that came first stays.
+func (d *Desk) GiveUp(tenant, id string) (View, error) {
+	d.mu.Lock()
+	l := d.lives[id]
+	d.mu.Unlock()
+	if l != nil {
+		if l.tenant != tenant {
+			return View{}, ticket.ErrUnknown
+		}
+		return d.leave(l)
+	}
+	if _, err := d.get(tenant, id); err != nil {
+		return View{}, err
+	}
+	t, e, err := d.store.Apply(id, ticket.Fact{Event: ticket.GiveUp}, nil, d.clock.Now())
+	if err != nil && !errors.Is(err, ticket.ErrEnded) {
+		return View{}, err
+	}
+	if err == nil {
+		if e&ticket.CallOff != 0 {
+			d.callOff(id)
+		}
+		d.planner.tell(schedule.DropEvent{ID: id})
+		d.told(id)
+	}
+	return d.viewOf(t)
+}
+
+// callOff ends the run in hand of a ticket that has its answer. Its call may be on its way to the core still.
+func (d *Desk) callOff(id string) {
+	d.mu.Lock()
+	r := d.runs[id]
+	var h *dispatch.Handle
+	if r != nil {
+		r.givenUp = true
+		h = r.handle
+	}
+	d.mu.Unlock()
+	if h != nil {
+		h.GiveUp()
+		d.over(id)
+	}
+}
+
+// over tells the scheduler that the place of a run is free whose end the core will not tell.
+func (d *Desk) over(id string) {
+	d.mu.Lock()
+	delete(d.runs, id)
+	d.mu.Unlock()
+	d.planner.tell(schedule.VoidEvent{ID: id})
+}
+
+// begin carries a run out that the scheduler has decided on.
+func (d *Desk) begin(id string) {
+	body, err := d.store.Body(id)
+	var t *ticket.Ticket
+	if err == nil {
+		t, _, err = d.store.Apply(id, ticket.Fact{Event: ticket.Offer}, nil, d.clock.Now())
+	}
+	if err != nil {
+		d.planner.tell(schedule.VoidEvent{ID: id})
+		if errors.Is(err, ticket.ErrStore) || errors.Is(err, ticket.ErrRefused) { // it waits still
+			log.Printf("tickets: %s cannot be run yet: %v", id, err)
+			d.later(func() { d.readd(id) })
+		}
+		return
+	}
+	t.Body = body
+	k, err := d.catalogue.Call(&t.Order)
+	if err != nil { // taken out of the catalogue a moment ago
+		d.settle(t, call.Answer{Outcome: call.Refused})
+		return
+	}
+	now := d.clock.Now()
+	until := now.Add(t.Patience)
+	if t.Expires.Before(until) {
+		until = t.Expires
+	}
+	r := &run{}
+	d.mu.Lock()
+	d.runs[id] = r
+	d.mu.Unlock()
+	// A new id for each run: an answer to an earlier one may still be on its way.
+	k.ID, k.Deadline = mathrand.Uint64(), d.clock.Machine(until)
+	if !t.Safe {
+		k.MayRun = func() error {
+			_, _, err := d.store.Apply(id, ticket.Fact{Event: ticket.Mark}, nil, d.clock.Now())
+			failpoint.Hit("marked")
+			return err
+		}
+	}
+	k.Done = func(a call.Answer) {
+		failpoint.Hit("run-ended")
+		d.work.Go(func() { d.settle(t, a) }) // the core's goroutine must not wait for a disk
+	}
+	h, err := d.core.Submit(k)
+	if err != nil {
+		k.Done(call.Answer{Outcome: call.Refused})
+		return
+	}
+	d.mu.Lock()
+	r.handle = h
+	givenUp := r.givenUp
+	d.mu.Unlock()
+	if givenUp {
+		h.GiveUp()
+		d.over(id)
+	}
+}
+
+// later does something after a pause, unless the desk is closed before.
+func (d *Desk) later(do func()) {
+	d.work.Go(func() {
+		select {
+		case <-time.After(storeAgain):
+			do()
+		case <-d.ctx.Done():
+		}
+	})
+}
+
+// readd hands a ticket to the scheduler again.
+func (d *Desk) readd(id string) {
+	t, err := d.store.Get(id)
+	switch {
+	case errors.Is(err, ticket.ErrStore):
+		d.later(func() { d.readd(id) })
+	case err == nil && t.State == ticket.Waiting:
+		if f, ok := d.catalogue.Describe(t.Function); ok {
+			d.planner.tell(schedule.AddEvent{Item: item(t, f)})
+		}
+	}
+}
+
+// fact words a run's answer for the ticket's life.
+func fact(a call.Answer) ticket.Fact {
+	f := ticket.Fact{Event: ticket.Turned, Late: a.Late, Advice: min(max(a.RetryAfter, adviceMin), adviceMost)}
+	switch {
+	case a.Outcome == call.Served:
+		f.Event, f.Bytes = ticket.Answered, int64(len(a.Body))
+	case a.MayHaveRun:
+		f.Event = ticket.Broke
+	}
+	return f
+}
+
+// settle puts the end of a run on record. Until that has worked there is none: an answer told from memory could
+// differ from the one that the next run of the program finds.
+func (d *Desk) settle(t *ticket.Ticket, a call.Answer) {
+	d.mu.Lock()
+	delete(d.runs, t.ID)
+	d.mu.Unlock()
+	f := fact(a)
+	f.Again = d.planner.ended(t, f, a.RetryAfter)
+	for {
+		failpoint.Hit("before-end")
+		now, e, err := d.store.Apply(t.ID, f, a.Body, d.clock.Now())
+		if err == nil || !errors.Is(err, ticket.ErrStore) {
+			failpoint.Hit("after-end")
+			if err == nil && e&ticket.Schedule != 0 {
+				if fn, ok := d.catalogue.Describe(now.Function); ok {
+					d.planner.tell(schedule.AddEvent{Item: item(now, fn)})
+				}
+			}
+			if err == nil && e&ticket.Tell != 0 {
+				d.told(t.ID)
+			}
+			return
+		}
+		log.Printf("tickets: the answer of %s is not stored yet: %v", t.ID, err)
+		select {
+		case <-time.After(storeAgain):
+		case <-d.ctx.Done():
+			return
+		}
+	}
+}
+
+// expire ends a ticket whose time was over while it waited.
+func (d *Desk) expire(id string) {
+	_, _, err := d.store.Apply(id, ticket.Fact{Event: ticket.Expire}, nil, d.clock.Now())
+	switch {
+	case err == nil:
+		d.told(id)
+	case errors.Is(err, ticket.ErrStore):
+		log.Printf("tickets: the end of %s is not stored yet: %v", id, err)
+		d.later(func() { d.expire(id) })
+	}
+}
--- /dev/null
+++ b/internal/ticket/desk/life.go
@@ -0,0 +1,261 @@
+package desk
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"errors"
+	"log"
+	mathrand "math/rand/v2"
+	"sync"
+	"time"
+
+	"kitefall/internal/call"
+	"kitefall/internal/dispatch"
+	"kitefall/internal/failpoint"
+	"kitefall/internal/schedule"
+	"kitefall/internal/ticket"
+)
+
+// life is a synchronous call, from its order to its end on record, if it is put there at all.
+type life struct {
+	id, tenant string
+	done       chan struct{} // closed once the final answer may be told
+
+	mu       sync.Mutex // held also while the ticket is put on record: its steps come one after another
+	ticket   *ticket.Ticket
+	onRecord bool
+	result   []byte
+	handle   *dispatch.Handle
+	givenUp  bool
+	other    string // the ticket that its key had already
+	err      error  // nothing ran, and it could not be put on record
+}
+
+func (l *life) view() View {
+	if l == nil {
+		return View{}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return View{Ticket: new(*l.ticket), Result: l.result, OnRecord: l.onRecord}
+}
+
+// claimed finds the synchronous call that has an order's key, or, where there is none, gives the key to the life.
+func (d *Desk) claimed(o *ticket.Order, to *life) (*life, error) {
+	if o.Key == "" {
+		return nil, nil
+	}
+	key := o.Tenant + "\x00" + o.Key
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := d.claims[key]
+	switch {
+	case l == nil:
+		if to != nil {
+			d.claims[key] = to
+		}
+		return nil, nil
+	case !bytes.Equal(l.ticket.Fingerprint, o.Fingerprint): // set once, before the life is known to others
+		return nil, ticket.ErrMismatch
+	default:
+		return l, nil
+	}
+}
+
+// Invoke has an order run at once and returns its final answer, or how it stands when ctx ends. Under a key that has
+// a ticket already, it waits for that one.
+func (d *Desk) Invoke(ctx context.Context, o ticket.Order) (View, error) {
+	o.Deferred = false
+	k, err := d.catalogue.Call(&o)
+	if err != nil {
+		return View{}, ticket.ErrUnknown
+	}
+	now := d.clock.Now()
+	t := ticket.New(rand.Text(), o, now)
+	l := &life{id: t.ID, tenant: o.Tenant, done: make(chan struct{}), ticket: t}
+	other, err := d.claimed(&o, l)
+	if err != nil {
+		return View{}, err
+	}
+	if other != nil {
+		return d.follow(ctx, other)
+	}
+	found, err := d.store.Find(&o, now)
+	if found != nil || err != nil {
+		d.unclaim(l)
+		if err != nil {
+			return View{}, err
+		}
+		return d.Wait(ctx, o.Tenant, found.ID)
+	}
+	d.mu.Lock()
+	d.lives[l.id] = l
+	d.mu.Unlock()
+	k.ID, k.Deadline = mathrand.Uint64(), d.clock.Machine(o.Expires)
+	if !o.Safe {
+		k.MayRun = func() error { return d.mark(l) }
+	}
+	k.Done = func(a call.Answer) {
+		d.planner.tell(schedule.ForegroundEvent{Turned: a.Outcome == call.Refused})
+		if t.Fleeting {
+			d.end(l, a) // it needs no disk, so the core's goroutine waits for nothing
+			return
+		}
+		d.work.Go(func() { d.end(l, a) })
+	}
+	h, err := d.core.Submit(k)
+	if err != nil {
+		k.Done(call.Answer{Outcome: call.Refused})
+	}
+	l.mu.Lock()
+	l.handle = h
+	late := l.givenUp
+	l.mu.Unlock()
+	if late && h != nil {
+		h.GiveUp()
+	}
+	v, err := d.follow(ctx, l)
+	if t.Fleeting && v.Ticket != nil && v.State != ticket.Ended && ctx.Err() != nil {
+		return d.leave(l) // nobody can ask for it any more
+	}
+	return v, err
+}
+
+// follow waits for a synchronous call's final answer.
+func (d *Desk) follow(ctx context.Context, l *life) (View, error) {
+	select {
+	case <-l.done:
+	case <-ctx.Done():
+	}
+	l.mu.Lock()
+	other, err := l.other, l.err
+	l.mu.Unlock()
+	if err != nil {
+		return View{}, err
+	}
+	if other != "" {
+		return d.Wait(ctx, l.tenant, other)
+	}
+	return l.view(), nil
+}
+
+func (d *Desk) unclaim(l *life) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if key := l.tenant + "\x00" + l.ticket.Key; d.claims[key] == l {
+		delete(d.claims, key)
+	}
+}
+
+var errOther = errors.New("the key has a ticket already")
+
+// mark puts a call on record just before its first byte is written to a worker.
+func (d *Desk) mark(l *life) error {
+	err := d.step(l, ticket.Fact{Event: ticket.Mark}, nil)
+	failpoint.Hit("marked")
+	return err
+}
+
+// step applies a fact to a synchronous call, in memory until it has to be on record, there from then on.
+func (d *Desk) step(l *life, f ticket.Fact, result []byte) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := d.clock.Now()
+	if l.onRecord {
+		t, _, err := d.store.Apply(l.id, f, result, now)
+		if t != nil {
+			t.Body = nil
+			l.ticket = t
+		}
+		return err
+	}
+	t := new(*l.ticket)
+	t.Body = l.ticket.Body
+	_, e, err := ticket.Step(t, f, now)
+	if err != nil {
+		return err
+	}
+	// One that has ended unmarked and has no key cannot be asked for by anybody: nothing of it was ever told.
+	if e&ticket.Store != 0 && (t.State != ticket.Ended || t.Key != "") {
+		found, err := d.store.Create(t, result, now)
+		if err != nil {
+			return err
+		}
+		if found != nil { // a deferred one under the same key came first
+			l.other = found.ID
+			return errOther
+		}
+		l.onRecord = true
+	}
+	l.ticket = t
+	return nil
+}
+
+// end gives a synchronous call its final answer. As for settle: nothing is told that could not be stored.
+func (d *Desk) end(l *life, a call.Answer) {
+	f := fact(a)
+	for {
+		failpoint.Hit("before-end")
+		err := d.step(l, f, a.Body)
+		if err == nil {
+			l.mu.Lock()
+			l.result = a.Body
+			l.mu.Unlock()
+		}
+		if err == nil || !errors.Is(err, ticket.ErrStore) {
+			failpoint.Hit("after-end")
+			d.close(l)
+			return
+		}
+		l.mu.Lock()
+		ran := l.onRecord
+		l.mu.Unlock()
+		if !ran && a.Outcome != call.Served {
+			// Nothing of it is on record and nothing ran: its client hears so, and may come again.
+			l.mu.Lock()
+			l.err = err
+			l.mu.Unlock()
+			d.close(l)
+			return
+		}
+		log.Printf("tickets: the answer of %s is not stored yet: %v", l.id, err)
+		select {
+		case <-time.After(storeAgain):
+		case <-d.ctx.Done():
+			return
+		}
+	}
+}
+
+// close tells a synchronous call's end, once.
+func (d *Desk) close(l *life) {
+	d.mu.Lock()
+	_, open := d.lives[l.id]
+	delete(d.lives, l.id)
+	d.mu.Unlock()
+	d.unclaim(l)
+	if open {
+		close(l.done)
+	}
+	d.told(l.id)
+}
+
+// leave ends a synchronous call for its owner.
+func (d *Desk) leave(l *life) (View, error) {
+	err := d.step(l, ticket.Fact{Event: ticket.GiveUp}, nil)
+	if err != nil && !errors.Is(err, ticket.ErrEnded) {
+		return View{}, err
+	}
+	if err == nil {
+		l.mu.Lock()
+		l.givenUp = true
+		h := l.handle
+		l.mu.Unlock()
+		if h != nil {
+			h.GiveUp()
+		}
+		d.close(l)
+	}
+	return l.view(), nil
+}
--- /dev/null
+++ b/internal/ticket/store/store_test.go
@@ -0,0 +1,314 @@
+package store
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	bolt "go.etcd.io/bbolt"
+
+	"kitefall/internal/durable"
+	"kitefall/internal/ticket"
+)
+
+var noon = time.Date(2026, 3, 2, 12, 0, 0, 0, time.UTC)
+
+func fresh(t testing.TB, o Options) (*Store, string) {
+	path := filepath.Join(t.TempDir(), "tickets.db")
+	if o.MostTickets == 0 {
+		o.MostTickets = 1 << 30
+	}
+	if o.Retention == 0 {
+		o.Retention = time.Hour
+	}
+	s, err := Open(path, o)
+	require.NoError(t, err)
+	t.Cleanup(func() { s.Close() })
+	return s, path
+}
+
+func order(key string) ticket.Order {
+	return ticket.Order{Tenant: "a", Key: key, Fingerprint: []byte{1}, Function: "book", Class: "reserva", Deferred: true,
+		Expires: noon.Add(time.Hour), Body: []byte("slot")}
+}
+
+func create(t testing.TB, s *Store, id string, o ticket.Order) *ticket.Ticket {
+	k := ticket.New(id, o, noon)
+	found, err := s.Create(k, nil, noon)
+	require.NoError(t, err)
+	require.Nil(t, found)
+	return k
+}
+
+func apply(t testing.TB, s *Store, id string, facts ...ticket.Fact) (k *ticket.Ticket) {
+	for _, f := range facts {
+		var err error
+		k, _, err = s.Apply(id, f, nil, noon.Add(time.Second))
+		require.NoError(t, err, "%s, %v", id, f.Event)
+	}
+	return k
+}
+
+var (
+	mark  = ticket.Fact{Event: ticket.Mark}
+	broke = ticket.Fact{Event: ticket.Broke}
+	away  = ticket.Fact{Event: ticket.Turned, Advice: 2 * time.Second}
+)
+
+// A refusal invites another try, which a device makes under the same key; until then it hears the refusal again.
+func TestKeyIsFreeAgainOnceARefusalsTimeHasCome(t *testing.T) {
+	s, _ := fresh(t, Options{MostTickets: 2})
+	o := order("k")
+	create(t, s, "t1", o)
+	apply(t, s, "t1", offer, away)
+	_, _, err := s.Apply("t1", ticket.Fact{Event: ticket.Answered}, nil, noon)
+	assert.ErrorIs(t, err, ticket.ErrEnded, "the first final answer wins")
+	_, _, err = s.Apply("t1", mark, nil, noon)
+	assert.ErrorIs(t, err, ticket.ErrEnded, "what has ended does not run")
+	found, err := s.Create(ticket.New("t2", o, noon), nil, noon.Add(time.Second))
+	require.NoError(t, err)
+	assert.Equal(t, "t1", found.ID)
+	other := o
+	other.Fingerprint = []byte{2}
+	_, err = s.Find(&other, noon)
+	assert.ErrorIs(t, err, ticket.ErrMismatch)
+	found, err = s.Create(ticket.New("t2", o, noon), nil, noon.Add(4*time.Second))
+	require.NoError(t, err)
+	assert.Nil(t, found)
+	_, err = s.Create(ticket.New("t3", order(""), noon), nil, noon)
+	assert.ErrorIs(t, err, ticket.ErrFull)
+}
+
+// What a start finds after the process ended in each state.
+func TestStatesOverARestart(t *testing.T) {
+	s, path := fresh(t, Options{})
+	for _, id := range []string{"waiting", "offered", "running", "ended"} {
+		create(t, s, id, order(""))
+	}
+	apply(t, s, "offered", offer)
+	apply(t, s, "running", offer, mark)
+	apply(t, s, "ended", ticket.Fact{Event: ticket.GiveUp})
+	require.NoError(t, s.Close())
+	s, err := Open(path, Options{Retention: time.Hour})
+	require.NoError(t, err)
+	defer s.Close()
+	found := map[string]ticket.State{}
+	require.NoError(t, s.Open(func(k *ticket.Ticket) error { found[k.ID] = k.State; return nil }))
+	assert.Equal(t, map[string]ticket.State{"waiting": ticket.Waiting, "offered": ticket.Waiting, "running": ticket.Running}, found)
+	body, err := s.Body("running")
+	require.NoError(t, err)
+	assert.Equal(t, "slot", string(body))
+	u, err := s.Usage("a")
+	require.NoError(t, err)
+	assert.Equal(t, Usage{4, 16}, u)
+	n, err := s.Verify()
+	require.NoError(t, err)
+	assert.Equal(t, 4, n)
+}
+
+func TestQuotasBoundOneTenantAndNotTheOthers(t *testing.T) {
+	s, _ := fresh(t, Options{TenantTickets: 3, TenantBytes: 10})
+	create(t, s, "t1", order(""))
+	create(t, s, "t2", order(""))
+	_, err := s.Create(ticket.New("t3", order(""), noon), nil, noon)
+	assert.ErrorIs(t, err, ticket.ErrQuota, "12 bytes")
+	o := order("")
+	o.Body = nil
+	create(t, s, "t3", o)
+	_, err = s.Create(ticket.New("t4", o, noon), nil, noon)
+	assert.ErrorIs(t, err, ticket.ErrQuota, "4 tickets")
+	o.Tenant = "b"
+	create(t, s, "t4", o)
+	apply(t, s, "t1", ticket.Fact{Event: ticket.GiveUp})
+	require.NoError(t, s.Sweep(noon.Add(2*time.Hour)))
+	create(t, s, "t5", order(""))
+}
+
+// Kept, expired, unknown: an ended ticket's answer stays for a while, the fact that there was one as long again.
+func TestSweep(t *testing.T) {
+	s, _ := fresh(t, Options{DeadRetention: 3 * time.Hour})
+	for i := range 600 {
+		id := fmt.Sprintf("t%03d", i)
+		create(t, s, id, order(id))
+		apply(t, s, id, ticket.Fact{Event: ticket.GiveUp})
+	}
+	create(t, s, "open", order(""))
+	create(t, s, "dead", order("d"))
+	apply(t, s, "dead", offer, mark, broke)
+	after := func(d time.Duration) { require.NoError(t, s.Sweep(noon.Add(d))) }
+	after(time.Hour)
+	k, err := s.Get("t007")
+	require.NoError(t, err)
+	assert.Equal(t, ticket.GivenUp, k.End)
+	after(2 * time.Hour)
+	k, err = s.Get("t007")
+	assert.ErrorIs(t, err, ticket.ErrExpired)
+	assert.Equal(t, "a", k.Tenant)
+	found, err := s.Find(new(order("t007")), noon)
+	require.NoError(t, err)
+	assert.Nil(t, found, "its key is free")
+	_, err = s.Get("dead")
+	require.NoError(t, err)
+	after(4 * time.Hour)
+	_, err = s.Get("t007")
+	assert.ErrorIs(t, err, ticket.ErrUnknown)
+	_, err = s.Get("dead")
+	assert.ErrorIs(t, err, ticket.ErrExpired)
+	_, err = s.Get("open")
+	assert.NoError(t, err)
+	u, err := s.Usage("")
+	require.NoError(t, err)
+	assert.Equal(t, Usage{1, 4}, u)
+}
+
+func TestDeadLetters(t *testing.T) {
+	s, _ := fresh(t, Options{})
+	for _, id := range []string{"ran", "late", "asked", "given"} {
+		create(t, s, id, order("key of "+id))
+	}
+	apply(t, s, "ran", offer, mark, broke)
+	apply(t, s, "asked", offer, away)
+	apply(t, s, "given", ticket.Fact{Event: ticket.GiveUp})
+	_, _, err := s.Apply("late", ticket.Fact{Event: ticket.Expire}, nil, noon.Add(2*time.Hour))
+	require.NoError(t, err)
+	letters, err := s.List(Filter{Dead: true, Tenant: "a"})
+	require.NoError(t, err)
+	assert.Len(t, letters, 3)
+	now := noon.Add(3 * time.Hour)
+	_, err = s.Redrive("ran", "n1", false, "we think it is fine", now)
+	assert.ErrorIs(t, err, ticket.ErrUnsure)
+	_, err = s.Redrive("ran", "n1", true, "", now)
+	assert.ErrorIs(t, err, ticket.ErrUnsure, "sure, but without a reason")
+	_, err = s.Redrive("given", "n1", true, "why not", now)
+	assert.ErrorIs(t, err, ticket.ErrNotDead)
+	heir, err := s.Redrive("ran", "n1", true, "the book of the day has no such slot", now)
+	require.NoError(t, err)
+	assert.Equal(t, []any{"ran", ticket.Waiting, now.Add(time.Hour), "slot"}, []any{heir.Origin, heir.State, heir.Expires, string(heir.Body)})
+	old, err := s.Get("ran")
+	require.NoError(t, err)
+	assert.Equal(t, []any{ticket.Failed, "n1"}, []any{old.End, old.Heir}, "its own answer stays")
+	found, err := s.Find(new(order("key of ran")), now)
+	require.NoError(t, err)
+	assert.Equal(t, "n1", found.ID, "its owner's late repeat meets the new one")
+	_, err = s.Redrive("ran", "n2", true, "once more", now)
+	assert.ErrorIs(t, err, ticket.ErrNotDead)
+	// The owner of a refused one has asked again by himself: two of them must not run.
+	_, err = s.Create(ticket.New("n3", order("key of asked"), now), nil, now)
+	require.NoError(t, err)
+	_, err = s.Redrive("asked", "n4", false, "", now)
+	assert.ErrorIs(t, err, ticket.ErrAskedFor)
+	old, err = s.Get("asked")
+	require.NoError(t, err)
+	assert.Empty(t, old.Heir, "nothing of the attempt stays")
+	n, err := s.Purge([]string{"late"}, now, now)
+	require.NoError(t, err)
+	assert.Equal(t, 1, n)
+	_, err = s.Purge([]string{"n1"}, now, now)
+	assert.ErrorIs(t, err, ticket.ErrNotDead)
+	n, err = s.Purge(nil, now, now)
+	require.NoError(t, err)
+	assert.Equal(t, 2, n)
+	require.NoError(t, s.Sweep(now.Add(48*time.Hour)))
+	_, err = s.Verify()
+	assert.NoError(t, err)
+}
+
+// A file of the first format: what is open goes on, what has ended stays to be asked for, what may have run does not
+// run again; the old file is left beside the new one.
+func TestMigration(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "tickets.db")
+	db, err := bolt.Open(path, 0o600, nil)
+	require.NoError(t, err)
+	require.NoError(t, db.Update(func(tx *bolt.Tx) error {
+		b := map[string]*bolt.Bucket{}
+		for _, name := range []string{"tickets", "keys", "ends", "expired"} {
+			b[name], err = tx.CreateBucket([]byte(name))
+			require.NoError(t, err)
+		}
+		put := func(id, more string) {
+			require.True(t, json.Valid([]byte(more)), more)
+			require.NoError(t, b["tickets"].Put([]byte(id), []byte(more)))
+			require.NoError(t, b["keys"].Put([]byte("a\x00"+id), []byte(id)))
+		}
+		const common = `"Tenant":"a","Name":"book","Body":"c2xvdA==","Deadline":"2026-03-02T13:00:00Z","Created":"2026-03-02T12:00:00Z"`
+		put("open", `{"ID":"open","Key":"open",`+common+`}`)
+		put("ran", `{"ID":"ran","Key":"ran","MayRun":true,`+common+`}`)
+		put("done", `{"ID":"done","Key":"done","End":"served","Ended":"2026-03-02T12:00:01Z","Result":"b2s=",`+common+`}`)
+		return b["expired"].Put([]byte("old"), append(timeKey(noon.Add(time.Hour), ""), "a"...))
+	}))
+	require.NoError(t, db.Close())
+	before, err := os.ReadFile(path)
+	require.NoError(t, err)
+	for range 2 { // the second start finds nothing to do
+		s, err := Open(path, Options{Retention: time.Hour})
+		require.NoError(t, err)
+		found := map[string]ticket.State{}
+		require.NoError(t, s.Open(func(k *ticket.Ticket) error { found[k.ID] = k.State; return nil }))
+		assert.Equal(t, map[string]ticket.State{"open": ticket.Waiting, "ran": ticket.Running}, found)
+		done, err := s.Find(&ticket.Order{Tenant: "a", Key: "done"}, noon)
+		require.NoError(t, err)
+		assert.Equal(t, ticket.Served, done.End)
+		result, err := s.Result("done")
+		require.NoError(t, err)
+		assert.Equal(t, "ok", string(result))
+		_, err = s.Get("old")
+		assert.ErrorIs(t, err, ticket.ErrExpired)
+		_, err = s.Verify()
+		assert.NoError(t, err)
+		require.NoError(t, s.Close())
+	}
+	after, err := os.ReadFile(path + ".v1")
+	require.NoError(t, err)
+	assert.Equal(t, before, after)
+	require.NoError(t, os.Rename(path, path+".v2")) // as if it had been ended between the two names
+	require.NoError(t, os.RemoveAll(durable.LogDir(path)))
+	s, err := Open(path, Options{})
+	require.NoError(t, err)
+	defer s.Close()
+	u, err := s.Usage("a")
+	require.NoError(t, err)
+	assert.Equal(t, int64(3), u.Tickets)
+}
+
+// The latest time known does not go back over a restart, although the machine's clock does.
+func TestTimeDoesNotGoBack(t *testing.T) {
+	s, path := fresh(t, Options{})
+	_, err := s.Seen(noon)
+	require.NoError(t, err)
+	require.NoError(t, s.Close())
+	s, err = Open(path, Options{})
+	require.NoError(t, err)
+	defer s.Close()
+	latest, err := s.Seen(noon.Add(-time.Hour))
+	require.NoError(t, err)
+	assert.True(t, latest.Equal(noon), latest)
+}
+
+// BenchmarkLives is the whole life of a deferred reserva: on record, marked, answered. 64 at once.
+func BenchmarkLives(b *testing.B) {
+	s, _ := fresh(b, Options{})
+	lives := make(chan int, b.N)
+	for i := range b.N {
+		lives <- i
+	}
+	close(lives)
+	var work sync.WaitGroup
+	b.ResetTimer()
+	for range 64 {
+		work.Go(func() {
+			for i := range lives {
+				id := fmt.Sprintf("%026d", i*7919%1000003)
+				create(b, s, id, order(id))
+				apply(b, s, id, offer, mark, ticket.Fact{Event: ticket.Answered})
+			}
+		})
+	}
+	work.Wait()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "lives/s")
+}
