--- a/cmd/kitefall/main.go
+++ b/cmd/kitefall/main.go
@@ -3,217 +3,126 @@
 package main
 
 import (
-	"context"
-	"flag"
+	"errors"
+	"fmt"
+	"io"
 	"log"
-	"math"
-	"net"
 	"os"
-	"os/signal"
-	"runtime"
-	"runtime/debug"
-	"syscall"
-	"time"
 
-	"github.com/spiffe/go-spiffe/v2/workloadapi"
+	"github.com/spf13/cobra"
 
-	"kitefall/internal/board"
 	"kitefall/internal/config"
-	"kitefall/internal/dispatch"
 	"kitefall/internal/front/invoke"
-	"kitefall/internal/front/resp"
-	"kitefall/internal/life"
-	"kitefall/internal/steady"
-	"kitefall/internal/ticket/desk"
-	"kitefall/internal/ticket/store"
-	"kitefall/internal/worker"
+	"kitefall/internal/ticket"
+	"kitefall/rules"
 )
 
+// The exit codes. They stay as they are: scripts look at them.
 const (
-	// linger is how long calls are taken after the order to end: clients learn of it late.
-	linger = 700 * time.Millisecond
-	// look is how often it is looked whether all is answered after that.
-	look = 5 * time.Millisecond
-	// identityBy is how long the Workload API may take for the first identity.
-	identityBy = 30 * time.Second
-	// storeBy is how long another process may hold the ticket store.
-	storeBy = 5 * time.Second
-	// clockAhead is how far the last run's clock may be ahead before it is worth a line.
-	clockAhead = time.Minute
-	// shutBy is how long requests of the invoke API may take to end.
-	shutBy = 5 * time.Second
+	exitOK      = 0
+	exitFailed  = 1
+	exitUsage   = 2
+	exitUnknown = 3 // no such ticket
+	exitRefused = 4 // the ticket does not take it
+	exitStore   = 5 // the store is broken, held by another process, or cannot be written
 )
 
 func main() {
-	invokeFile := flag.String("invoke", "", "turn the invoke front on, as this operator's `file` says")
-	flag.Parse()
 	log.SetFlags(log.Ltime | log.Lmicroseconds)
-	if err := run(os.Getenv("RELAY_CONFIG"), *invokeFile); err != nil {
-		log.Fatalf("kitefall: %v", err)
-	}
+	os.Exit(command(os.Args[1:], os.Stdout, os.Stderr))
 }
 
-func run(path, invokeFile string) error {
-	ended := make(chan os.Signal, 1)
-	signal.Notify(ended, syscall.SIGTERM, os.Interrupt)
-	defer signal.Stop(ended)
-	again := make(chan os.Signal, 1)
-	signal.Notify(again, syscall.SIGHUP) // from the first moment on: unhandled, it would end the program
-	defer signal.Stop(again)
-	conf, err := config.Read(path)
-	if err != nil {
-		return err
-	}
-	phases := life.New()
-	debug.SetMemoryLimit(conf.MemoryLimit())
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(conf.Limits.Cores))))
-	one, all := conf.WorkerConnections()
-	core, err := dispatch.New(dispatch.Config{Settings: conf.Settings, Seed: conf.Seed, MostOpen: conf.MostOpen(),
-		MostHeld: conf.MostHeld(), Links: worker.Config{DialTimeout: conf.Settings.DialTimeout,
-			IdleClose: conf.Connections.IdleClose, DrainGrace: conf.Settings.DrainGrace,
-			Streams: conf.Connections.Streams, Connections: one, Room: worker.NewRoom(all)}})
-	if err != nil {
-		return err
-	}
-	go core.Run()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	watcher := board.NewWatcher(conf.Board, core.News)
-	go func() {
-		watcher.Known(conf.Known)
-		watcher.Run(ctx)
-	}()
-	failed := make(chan error, 2)
-	edge := &invokeFront{}
-	if invokeFile != "" {
-		if edge, err = startInvoke(invokeFile, conf, core, failed); err != nil {
-			return err
-		}
-	}
-	ln, err := net.Listen("tcp", conf.Listen)
-	if err != nil {
-		return err
-	}
-	ready := func() bool {
-		if core.Known() {
-			phases.Enter(life.Serving)
-		}
-		return phases.Phase().Up()
-	}
-	front := &resp.Server{Core: core, Ready: ready, Settings: conf.Settings, Patience: resp.Usual}
-	go func() { failed <- front.Serve(ln, conf.ClientConnections()) }()
-	log.Printf("%s listens on %s", conf.Name, conf.Listen)
-	go func() {
-		for range again {
-			ready() // the list may be known without a CHECK having asked
-			reload(path, conf, watcher, phases)
-		}
-	}()
-	select {
-	case err := <-failed:
-		return err
-	case <-ended:
-	}
-	phases.Enter(life.Draining)
-	time.Sleep(linger)
-	ln.Close()
-	front.Finish()
-	edge.finish()
-	for core.Open() > 0 || front.Clients() > 0 {
-		time.Sleep(look)
+// errUsage marks what the words of a command line are at fault for.
+var errUsage = errors.New("usage")
+
+// command carries out a command line and returns its exit code. Without any words it is the dispatcher.
+func command(args []string, out, errs io.Writer) int {
+	root := newRoot()
+	root.SetArgs(long(args))
+	root.SetOut(out)
+	root.SetErr(errs)
+	err := root.Execute()
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintf(errs, "kitefall: %v\n", err)
+	switch {
+	case errors.Is(err, errUsage):
+		return exitUsage
+	case errors.Is(err, ticket.ErrUnknown), errors.Is(err, ticket.ErrExpired):
+		return exitUnknown
+	case errors.Is(err, ticket.ErrNotDead), errors.Is(err, ticket.ErrUnsure), errors.Is(err, ticket.ErrAskedFor):
+		return exitRefused
+	case errors.Is(err, ticket.ErrStore):
+		return exitStore
+	default:
+		return exitFailed
 	}
-	err = edge.close()
-	phases.Enter(life.Stopped)
-	return err
 }
 
-// reload reads the configuration again and follows the board that it names, in whatever phase the program is: a
-// drain must be heard of also by one that ends. A file that cannot be used changes nothing.
-func reload(path string, old *config.Config, watcher *board.Watcher, phases *life.Life) {
-	if phases.Enter(life.Reloading) {
-		defer phases.Enter(life.Serving)
-	}
-	conf, err := config.Read(path)
-	if err != nil {
-		log.Printf("reload: the settings stay as they were: %v", err)
-		return
-	}
-	if !conf.SameBut(old) {
-		log.Printf("reload: other settings than the board have changed: they count from the next start on")
+// long turns -invoke, as it was written at first, into --invoke.
+func long(args []string) []string {
+	out := append([]string{}, args...)
+	for i, a := range out {
+		if a == "-invoke" || len(a) > 8 && a[:8] == "-invoke=" {
+			out[i] = "-" + a
+		}
 	}
-	watcher.Move(conf.Board)
-	log.Printf("reload: the board is at %s", conf.Board)
+	return out
 }
 
-// invokeFront is the invoke front and what stands behind it; empty if it is off.
-type invokeFront struct {
-	server   *invoke.Server
-	desk     *desk.Desk
-	identity *workloadapi.X509Source
-	core     *dispatch.Core
-}
+func newRoot() *cobra.Command {
+	var invokeFile string
+	serve := func(*cobra.Command, []string) error { return run(os.Getenv("RELAY_CONFIG"), invokeFile) }
+	root := &cobra.Command{Use: "kitefall", Short: "A dispatcher for calls of functions that run only where they are loaded",
+		Long: `A dispatcher for calls of functions that run only where they are loaded.
 
-func startInvoke(file string, conf *config.Config, core *dispatch.Core, failed chan<- error) (*invokeFront, error) {
-	c, err := invoke.ReadConfig(file, conf.Settings)
-	if err != nil {
-		return nil, err
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(identityBy))
-	defer cancel()
-	f := &invokeFront{core: core}
-	if f.identity, err = invoke.Identify(ctx, c.WorkloadAPI); err != nil {
-		return nil, err
-	}
-	kept := c.Kept()
-	kept.Durable.LockBy = time.Now().Add(storeBy)
-	kept.Durable.Check = true
-	tickets, err := store.Open(c.Store, kept)
-	if err != nil {
-		return nil, err
-	}
-	latest, err := tickets.Seen(time.Now())
-	if err != nil {
-		return nil, err
-	}
-	if ahead := time.Until(latest); ahead > clockAhead {
-		log.Printf("tickets: the last run's clock was %v ahead of this one's; times go on from there", ahead.Round(time.Second))
-	}
-	if f.desk, err = desk.New(tickets, core, c, c.Plan(), steady.Start(latest)); err != nil {
-		return nil, err
-	}
-	if err := f.desk.Resume(); err != nil {
-		return nil, err
-	}
-	ln, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		return nil, err
-	}
-	f.server = invoke.New(c, f.desk, f.identity)
-	go func() {
-		if err := f.server.Serve(ln); err != nil {
-			failed <- err
-		}
-	}()
-	log.Printf("%s serves the invoke API on %s", conf.Name, ln.Addr())
-	return f, nil
+Without a command it serves, as the platform starts it: RELAY_CONFIG names its configuration.
+Exit codes: 0 done, 1 failed, 2 usage, 3 no such ticket, 4 the ticket does not take it, 5 the store does not work.`,
+		Args: cobra.NoArgs, RunE: serve, SilenceUsage: true, SilenceErrors: true}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", errUsage, err) })
+	root.Flags().StringVar(&invokeFile, "invoke", "", "turn the invoke front on, as this operator's `file` says")
+	again := &cobra.Command{Use: "serve", Short: "Serve, as without a command", Args: usage(cobra.NoArgs), RunE: serve}
+	again.Flags().StringVar(&invokeFile, "invoke", "", "turn the invoke front on, as this operator's `file` says")
+	root.Args = usage(cobra.NoArgs)
+	root.AddCommand(again, newConfig(), newTickets())
+	return root
 }
 
-// finish takes no new calls: else a busy edge would never come to its end.
-func (f *invokeFront) finish() {
-	if f.server != nil {
-		f.server.Finish()
+// usage marks wrong arguments as errors of usage.
+func usage(check cobra.PositionalArgs) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if err := check(c, args); err != nil {
+			return fmt.Errorf("%w: %w", errUsage, err)
+		}
+		return nil
 	}
 }
 
-// close ends the front, once nothing is open in the core.
-func (f *invokeFront) close() error {
-	if f.server == nil {
-		return nil
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(shutBy))
-	defer cancel()
-	f.server.Shutdown(ctx)
-	f.core.Stop()
-	f.identity.Close()
-	return f.desk.Close()
+func newConfig() *cobra.Command {
+	group := &cobra.Command{Use: "config", Short: "Look at operators' files"}
+	var relay string
+	check := &cobra.Command{Use: "check FILE", Short: "Check an operator's file, all of it, and say what it means",
+		Args: usage(cobra.ExactArgs(1)), RunE: func(c *cobra.Command, args []string) error {
+			settings := rules.Settings{}
+			if relay != "" {
+				conf, err := config.Read(relay)
+				if err != nil {
+					return err
+				}
+				settings = conf.Settings
+			}
+			conf, err := invoke.CheckConfig(args[0], settings, relay != "")
+			if err != nil {
+				return err
+			}
+			fmt.Fprint(c.OutOrStdout(), conf.Explain())
+			if relay == "" {
+				fmt.Fprintln(c.OutOrStdout(), "classes and tenants were not checked: name the dispatcher's configuration with --relay-config")
+			}
+			return nil
+		}}
+	check.Flags().StringVar(&relay, "relay-config", os.Getenv("RELAY_CONFIG"), "the dispatcher's configuration, for its classes and tenants")
+	group.AddCommand(check)
+	return group
 }
--- a/cmd/kitefall/main_test.go
+++ b/cmd/kitefall/main_test.go
@@ -33,7 +33,8 @@
 		"settings":{"caps":{"cancel":true,"try_limit":4,"dial_timeout_us":250000,"idle_close_us":15000000,"max_streams":32},
 		"domain":{"placement_calls":true,"answer_within_us":5000000,"keep_alive_us":9000000},
 		"guarantees":{"drain_grace_us":1000000},
-		"grades":[{"name":"reserva","effect":"side_effect","deadline_us":5000000,"goal_time_us":4000000}]}}`,
+		"grades":[{"name":"reserva","effect":"side_effect","deadline_us":5000000,"goal_time_us":4000000},
+		{"name":"consulta","effect":"pure","deadline_us":5000000,"goal_time_us":4000000}]}}`,
 		addr, board, w.Addr), 0o600))
 }
 
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -12,6 +12,7 @@
 
 	"kitefall/internal/board"
 	"kitefall/internal/call"
+	"kitefall/internal/quiet"
 	"kitefall/internal/worker"
 	"kitefall/rules"
 )
@@ -22,6 +23,9 @@
 	answerBefore = 0.5
 )
 
+// unmarked is the log line of calls that end before their first attempt: clients cause it by giving up in that moment.
+var unmarked = quiet.NewLine()
+
 // ErrBusy tells that a call was not taken in: trying again is harmless.
 var ErrBusy = errors.New("too much is open")
 
@@ -323,7 +327,7 @@
 // cleared goes on with an attempt once it is on record that its call may run.
 func (c *Core) cleared(t *attempt, err error) {
 	if err != nil && !t.closed {
-		log.Printf("core: call %016x refused, it could not be put on record: %v", t.ID, err)
+		unmarked.Printf("core: call %016x refused, it could not be put on record: %v", t.ID, err)
 		c.answer(t.open, call.Answer{Outcome: call.Refused})
 		c.feed(rules.GoneEvent{ID: t.id})
 	}
--- a/internal/front/invoke/config.go
+++ b/internal/front/invoke/config.go
@@ -5,9 +5,11 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
-	"github.com/BurntSushi/toml"
 	"github.com/spiffe/go-spiffe/v2/spiffeid"
 
 	"kitefall/internal/call"
@@ -15,6 +17,7 @@
 	"kitefall/internal/ticket"
 	"kitefall/internal/ticket/desk"
 	"kitefall/internal/ticket/store"
+	"kitefall/internal/tomlfile"
 	"kitefall/rules"
 )
 
@@ -23,6 +26,7 @@
 	Listen      string               `toml:"listen"`
 	WorkloadAPI string               `toml:"workload_api"`
 	Store       string               `toml:"store"`
+	Control     string               `toml:"control"`      // the control socket; else beside the store
 	Retention   time.Duration        `toml:"retention"`    // ended tickets are kept this long
 	MostWait    time.Duration        `toml:"most_wait"`    // a poll may wait this long
 	MostOpen    int                  `toml:"most_open"`    // requests in hand
@@ -73,8 +77,13 @@
 	safe bool
 }
 
-// ReadConfig reads the operator's file and checks it against the classes of the settings.
-func ReadConfig(path string, settings rules.Settings) (*Config, error) {
+// Read reads the operator's file without what the platform tells: enough to find the store.
+func Read(path string) (*Config, error) {
+	c, _, err := read(path)
+	return c, err
+}
+
+func read(path string) (*Config, *tomlfile.File, error) {
 	c := &Config{Retention: 24 * time.Hour, MostWait: 20 * time.Second, MostOpen: 512, MostTickets: 100_000,
 		Connections: 128, ids: map[spiffeid.ID]string{}}
 	usual := schedule.Default()
@@ -82,26 +91,49 @@
 		PerFunction: usual.MostPerFunction, MostRuns: usual.MostRuns, Backoff: usual.Backoff, MostBackoff: usual.MostBackoff,
 		RetryShare: usual.RetryShare, RetryFloor: usual.RetryFloor, Gather: usual.Gather, GatherRuns: usual.GatherRuns,
 		Starve: usual.Starve}
-	meta, err := toml.DecodeFile(path, c)
+	f, err := tomlfile.Read(path, c)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	if odd := meta.Undecoded(); len(odd) > 0 { // a misspelt bound would silently be none
-		return nil, fmt.Errorf("%s: unknown settings %v", path, odd)
+	if c.Control == "" && c.Store != "" {
+		c.Control = c.Store + ".sock"
 	}
-	if c.Listen == "" || c.WorkloadAPI == "" || c.Store == "" || c.Retention <= 0 || c.MostOpen < 1 ||
-		c.MostWait < 0 || c.MostTickets < 1 || c.Connections < 1 {
-		err = errors.New("listen, workload_api, store, or a bound is missing")
+	return c, f, nil
+}
+
+// ReadConfig reads the operator's file and checks it against the classes and tenants of the settings. It tells of all
+// that cannot work, each with its line.
+func ReadConfig(path string, settings rules.Settings) (*Config, error) {
+	return CheckConfig(path, settings, true)
+}
+
+// CheckConfig is ReadConfig, also for where the settings are not known: classes and tenants are not checked then.
+func CheckConfig(path string, settings rules.Settings, known bool) (*Config, error) {
+	c, file, err := read(path)
+	if err != nil {
+		return nil, err
+	}
+	need := func(ok bool, what string, key ...string) {
+		if !ok {
+			err = errors.Join(err, file.Errorf(what, key...))
+		}
 	}
-	known := map[string]bool{}
+	need(c.Listen != "", "is missing", "listen")
+	need(c.WorkloadAPI != "", "is missing", "workload_api")
+	need(c.Store != "", "is missing", "store")
+	need(c.Retention > 0, "has to be above 0", "retention")
+	need(c.MostWait >= 0, "has to be 0 or more", "most_wait")
+	need(c.MostOpen >= 1, "has to be at least 1", "most_open")
+	need(c.MostTickets >= 1, "has to be at least 1", "most_tickets")
+	need(c.Connections >= 1, "has to be at least 1", "connections")
+	tenants := map[string]bool{}
 	for _, t := range settings.Tenants {
-		known[t.Name] = true
+		tenants[t.Name] = true
 	}
 	for text, tenant := range c.Tenants {
 		id, bad := spiffeid.FromString(text)
-		if err = errors.Join(err, bad); len(known) > 0 && !known[tenant] {
-			err = errors.Join(err, fmt.Errorf("%s: no tenant %q in the settings", text, tenant))
-		}
+		need(bad == nil, fmt.Sprintf("is no SPIFFE ID: %v", bad), "tenants", text)
+		need(len(tenants) == 0 || tenants[tenant], fmt.Sprintf("no tenant %q in the settings", tenant), "tenants", text)
 		c.ids[id] = tenant
 	}
 	classes := map[string]rules.Class{}
@@ -111,36 +143,45 @@
 	for name, f := range c.Functions {
 		class, ok := classes[f.Class]
 		f.safe = ok && class.Effect == rules.Safe
-		if f.MostBody == 0 {
-			f.MostBody = call.MostBody
-		}
-		if f.MostLife == 0 {
-			f.MostLife = 24 * time.Hour
-		}
-		if f.Life == 0 {
-			f.Life = min(time.Hour, f.MostLife)
-		}
-		if f.ContentType == "" {
-			f.ContentType = "application/json"
-		}
+		f.defaults()
+		need := func(ok bool, what, key string) { need(ok, what, "functions", name, key) }
+		need(ok || !known, fmt.Sprintf("no class %q in the settings", f.Class), "class")
+		need(call.Hex16(f.Key), "has to be 16 hex digits, the function's name at the workers", "key")
+		need(f.Deadline > 0, "has to be above 0", "deadline")
+		need(f.MostTime >= f.Deadline, fmt.Sprintf("is below the deadline of %v", f.Deadline), "most_deadline")
 		// The module takes the longest time seen in a class for that of a first try. One beyond the class's own
 		// would make it take the other front's first tries for late repeats.
-		if f.MostTime > class.Deadline {
-			err = errors.Join(err, fmt.Errorf("function %s: most_deadline is over the %v of class %s", name,
-				class.Deadline, f.Class))
-		}
-		if !ok || !call.Hex16(f.Key) || f.Deadline <= 0 || f.MostTime < f.Deadline || f.MostBody > call.MostBody ||
-			f.MostBody < 0 || f.Life < f.Deadline || f.MostLife < f.Life || f.MostLife > mostLife {
-			err = errors.Join(err, fmt.Errorf("function %s: class, key, deadlines, lives or most_body cannot work", name))
-		}
+		need(!ok || f.MostTime <= class.Deadline, fmt.Sprintf("is over the %v of class %s", class.Deadline, f.Class),
+			"most_deadline")
+		need(f.Life >= f.Deadline, fmt.Sprintf("is below the deadline of %v", f.Deadline), "life")
+		need(f.MostLife >= f.Life, fmt.Sprintf("is below the life of %v", f.Life), "most_life")
+		need(f.MostLife <= mostLife, fmt.Sprintf("is over %v", mostLife), "most_life")
+		need(f.MostBody >= 0 && f.MostBody <= call.MostBody, fmt.Sprintf("has to be from 0 to %d", call.MostBody), "most_body")
+	}
+	if bad := c.Deferred.check(settings); bad != nil {
+		err = errors.Join(err, file.Errorf(bad.Error(), "deferred"))
 	}
-	err = errors.Join(err, c.Deferred.check(settings))
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return nil, err
 	}
 	return c, nil
 }
 
+func (f *Function) defaults() {
+	if f.MostBody == 0 {
+		f.MostBody = call.MostBody
+	}
+	if f.MostLife == 0 {
+		f.MostLife = 24 * time.Hour
+	}
+	if f.Life == 0 {
+		f.Life = min(time.Hour, f.MostLife)
+	}
+	if f.ContentType == "" {
+		f.ContentType = "application/json"
+	}
+}
+
 // mostLife is the longest life of a deferred call.
 const mostLife = 30 * 24 * time.Hour
 
@@ -151,6 +192,9 @@
 	p.MostRuns, p.Backoff, p.MostBackoff = d.MostRuns, d.Backoff, d.MostBackoff
 	p.RetryShare, p.RetryFloor = d.RetryShare, d.RetryFloor
 	p.Gather, p.GatherRuns, p.Starve = d.Gather, d.GatherRuns, d.Starve
+	if settings.Keep > 0 { // copies stand idle for so long at the least, unless a load needs their room
+		p.Warm = settings.Keep * 2 / 3
+	}
 	p.Tenants, p.Classes = map[string]float64{}, map[string]float64{}
 	for _, t := range settings.Tenants {
 		if t.Share > 0 {
@@ -163,12 +207,9 @@
 	d.plan = p
 	err := p.Validate()
 	if d.DeadRetention <= 0 || d.TenantTickets < 0 || d.TenantMB < 0 {
-		err = errors.Join(err, errors.New("dead_retention, tenant_tickets or tenant_mb cannot work"))
-	}
-	if err != nil {
-		return fmt.Errorf("deferred: %w", err)
+		err = errors.Join(err, errors.New("dead_retention has to be above 0, tenant_tickets and tenant_mb 0 or more"))
 	}
-	return nil
+	return err
 }
 
 // Plan is how deferred calls are scheduled.
@@ -201,3 +242,21 @@
 	return &call.Call{Class: f.Class, Tenant: o.Tenant, Function: f.Key, Work: f.Work, Memory: f.MemoryMB,
 		Lanes: f.Lanes, LoadTime: f.Load, Body: o.Body}, nil
 }
+
+// Explain says what the file means, for people.
+func (c *Config) Explain() string {
+	var b strings.Builder
+	line := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
+	line("listens on %s, at most %d connections and %d requests in hand", c.Listen, c.Connections, c.MostOpen)
+	line("identity by the Workload API at %s; %d SPIFFE IDs may call", c.WorkloadAPI, len(c.Tenants))
+	line("tickets in %s, control socket %s", c.Store, c.Control)
+	line("at most %d tickets; answers kept %v, dead letters %v", c.MostTickets, c.Retention, c.Deferred.DeadRetention)
+	line("deferred: %d to %d runs at once, at most %d of one function, at most %d runs of a ticket",
+		c.Deferred.LeastRunning, c.Deferred.MostRunning, c.Deferred.PerFunction, c.Deferred.MostRuns)
+	for _, name := range slices.Sorted(maps.Keys(c.Functions)) {
+		f := c.Functions[name]
+		line("function %s: %s, key %s, deadline %v up to %v, deferred life %v up to %v, bodies up to %d bytes", name, f.Class,
+			f.Key, f.Deadline, f.MostTime, f.Life, f.MostLife, f.MostBody)
+	}
+	return b.String()
+}
--- a/internal/schedule/limit.go
+++ b/internal/schedule/limit.go
@@ -16,7 +16,7 @@
 	MostRunning     int // runs in hand at most
 	MostPerFunction int // of them for one function
 
-	Starve     time.Duration // a ticket ready for longer goes before all others of its tenant
+	Starve     time.Duration // a ticket ready for longer goes before others of its tenant; where it needs a load, with the next one
 	Gather     time.Duration // how long a run may wait for others of its function before a load is caused
 	GatherRuns int           // ... unless so many wait already
 	Warm       time.Duration // copies of a function are expected to stand this long after a run of it
@@ -42,7 +42,7 @@
 // Default is a usual configuration.
 func Default() Config {
 	return Config{LeastRuns: 2, MostRunning: 64, MostPerFunction: 16, Starve: 30 * time.Second, Gather: 2 * time.Second,
-		GatherRuns: 8, Warm: 4 * time.Second, OpenFloor: 4, OpenShare: 0.1, MostRuns: 20, Backoff: 500 * time.Millisecond,
+		GatherRuns: 8, Warm: 6 * time.Second, OpenFloor: 4, OpenShare: 0.1, MostRuns: 20, Backoff: 500 * time.Millisecond,
 		MostBackoff: 15 * time.Second, RetryShare: 0.2, RetryFloor: 5, RetryBurst: 20, Slow: 4, DarkAfter: 8,
 		DarkFor: time.Second, Probe: 500 * time.Millisecond, Yield: 500 * time.Millisecond}
 }
@@ -161,6 +161,14 @@
 	smooth float64
 }
 
+// loaded tells whether a run took so long that it must have waited for a load.
+func (l *latency) loaded(took time.Duration) bool {
+	return l.floor > 0 && took.Seconds() > 2*l.floor+leastLoad.Seconds()
+}
+
+// leastLoad is less than any load takes.
+const leastLoad = 150 * time.Millisecond
+
 func (l *latency) slow(took time.Duration, multiple float64) bool {
 	t := took.Seconds()
 	if l.floor == 0 {
--- a/internal/schedule/pick.go
+++ b/internal/schedule/pick.go
@@ -45,11 +45,13 @@
 }
 
 func (s *Scheduler) pickOf(now time.Time, t *tenant) (*item, time.Time) {
-	// Nothing waits for ever behind what ranks higher: past the bound, the order is that of coming.
-	if oldest, _ := t.ready.Min(); now.Sub(oldest.since) >= s.config.Starve && s.hasRoom(oldest.queue.function) {
-		return oldest, time.Time{}
+	// Nothing waits for ever behind what ranks higher. Past the bound the order is that of coming: at once where no load
+	// is needed, else with the next load that may be caused.
+	warm, cold := s.starved(now, t)
+	if warm != nil {
+		return warm, time.Time{}
 	}
-	var warm, cold *item
+	overdue := cold != nil
 	coldReady := 0
 	wake := time.Time{}
 	later := func(at time.Time) {
@@ -68,6 +70,9 @@
 			}
 			continue
 		}
+		if overdue {
+			continue
+		}
 		if at := s.gathered(now, f, first); now.Before(at) {
 			later(at)
 			continue
@@ -79,7 +84,11 @@
 		}
 	}
 	if cold != nil {
-		if at := s.opens.when(now, 1); now.Before(at) {
+		need := 1.0
+		if cold.Expires.Sub(now) <= endNear { // its time is nearly over: on account of loads to come
+			need = 1 - s.opens.most
+		}
+		if at := s.opens.when(now, need); now.Before(at) {
 			later(at)
 			cold = nil
 		}
@@ -87,13 +96,38 @@
 	switch {
 	case warm == nil:
 		return cold, wake
-	case cold != nil && cold.level > warm.level:
+	case cold != nil && (overdue || cold.level > warm.level):
 		return cold, time.Time{}
 	default:
 		return warm, time.Time{}
 	}
 }
 
+// starvedMost bounds the look for what has waited too long; what it leaves out is older than nothing that it finds.
+const starvedMost = 256
+
+// starved finds what has been ready for longer than the bound: the oldest whose function is warm, and the oldest
+// whose function is not.
+func (s *Scheduler) starved(now time.Time, t *tenant) (warm, cold *item) {
+	n := 0
+	t.ready.Scan(func(it *item) bool {
+		n++
+		if now.Sub(it.since) < s.config.Starve || n > starvedMost {
+			return false
+		}
+		f := it.queue.function
+		switch {
+		case !s.hasRoom(f):
+		case f.isWarm(now):
+			warm = it
+		case cold == nil:
+			cold = it
+		}
+		return warm == nil
+	})
+	return warm, cold
+}
+
 // hasRoom keeps one function from taking all places: its copies run only so many at a time.
 func (s *Scheduler) hasRoom(f *function) bool { return f.inFlight < s.config.MostPerFunction }
 
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -129,6 +129,7 @@
 	place place
 	since time.Time // ready since
 	began time.Time
+	warm  bool    // its function was warm when it began
 	level float64 // worth of its class; more goes first
 	owner *tenant
 	queue *queue
@@ -405,7 +406,7 @@
 
 func (s *Scheduler) begin(now time.Time, it *item) {
 	f := it.queue.function
-	if !f.isWarm(now) {
+	if it.warm = f.isWarm(now); !it.warm {
 		s.opens.tokens--
 		f.warm = now.Add(s.config.Warm)
 	}
@@ -432,6 +433,10 @@
 	s.remove(it)
 	if e.Result == Served {
 		f.warm = now.Add(s.config.Warm)
+		// Its copy had gone: more functions are held warm than the fleet has room for. That load counts as well.
+		if it.warm && f.took.loaded(e.Took) {
+			s.opens.tokens = max(-s.opens.most, s.opens.tokens-1)
+		}
 		s.limit.served(now, busy, f.took.slow(e.Took, s.config.Slow))
 		return nil
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -31,8 +31,49 @@
 	Calls chan *Call // calls that have arrived whole
 	Gone  chan uint64
 
-	mu   sync.Mutex
-	runs map[string]int
+	mu     sync.Mutex
+	runs   map[string]int
+	copies map[string]bool // nil: it has a copy of everything
+	orders []time.Time
+}
+
+// Empty has the worker hold no copies from now on: it answers 'miss' until an order to load has come.
+func (w *Worker) Empty() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.copies = map[string]bool{}
+}
+
+// Orders are the times at which orders to load have come.
+func (w *Worker) Orders() []time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]time.Time(nil), w.orders...)
+}
+
+// Serve answers each call as the test says, until the test ends.
+func (w *Worker) Serve(answer func(*Call)) {
+	go func() {
+		for c := range w.Calls {
+			answer(c)
+		}
+	}()
+}
+
+// holds tells whether a copy stands, and field reads a frame's field.
+func (w *Worker) holds(function string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.copies == nil || w.copies[function]
+}
+
+func field(fields, name string) string {
+	for f := range strings.SplitSeq(fields, ",") {
+		if k, v, _ := strings.Cut(f, "="); k == name {
+			return v
+		}
+	}
+	return ""
 }
 
 // Call is a call at a worker.
@@ -78,6 +119,10 @@
 			Body: string(rest[fields : len(rest)-4]), conn: c}
 		switch head[1] {
 		case 48:
+			if !w.holds(field(call.Fields, "thing")) {
+				call.Answer(66, "", "")
+				continue
+			}
 			w.mu.Lock()
 			w.runs[call.Body]++
 			w.mu.Unlock()
@@ -85,6 +130,12 @@
 		case 49:
 			w.Gone <- call.ID
 		case 52:
+			w.mu.Lock()
+			w.orders = append(w.orders, time.Now())
+			if w.copies != nil {
+				w.copies[field(call.Fields, "thing")] = true
+			}
+			w.mu.Unlock()
 			call.Answer(64, "n=1", "")
 		}
 	}
@@ -166,7 +217,12 @@
 
 // NewCore starts a core that knows the workers. Who calls it stops it.
 func NewCore(t testing.TB, workers ...*Worker) *dispatch.Core {
-	c, err := dispatch.New(dispatch.Config{Settings: Settings(), Seed: 1, Links: Links(), MostOpen: 100,
+	return NewCoreOf(t, Settings(), workers...)
+}
+
+// NewCoreOf is NewCore with settings of the test's own.
+func NewCoreOf(t testing.TB, s rules.Settings, workers ...*Worker) *dispatch.Core {
+	c, err := dispatch.New(dispatch.Config{Settings: s, Seed: 1, Links: Links(), MostOpen: 100,
 		MostHeld: 1 << 20})
 	require.NoError(t, err)
 	go c.Run()
--- a/internal/ticket/desk/desk.go
+++ b/internal/ticket/desk/desk.go
@@ -66,7 +66,7 @@
 
 	mu     sync.Mutex
 	lives  map[string]*life    // tickets that are not on record, or were not when they were taken; until they end
-	claims map[string]*life    // tenant, 0, Idempotency-Key: of those
+	claims map[string]*claim   // tenant, 0, Idempotency-Key
 	waits  map[string]*waiting // open tickets on record that somebody waits for
 	runs   map[string]*run     // of tickets on record
 
@@ -88,7 +88,7 @@
 
 // New returns a desk that runs what it has under the scheduler's settings. Resume begins its work.
 func New(s *store.Store, c Core, cat Catalogue, plan schedule.Config, clock *steady.Clock) (*Desk, error) {
-	d := &Desk{store: s, core: c, catalogue: cat, clock: clock, lives: map[string]*life{}, claims: map[string]*life{},
+	d := &Desk{store: s, core: c, catalogue: cat, clock: clock, lives: map[string]*life{}, claims: map[string]*claim{},
 		waits: map[string]*waiting{}, runs: map[string]*run{}}
 	d.ctx, d.stop = context.WithCancel(context.Background())
 	planned, err := schedule.New(plan, mathrand.Uint64(), clock.Now())
@@ -172,23 +172,39 @@
 	if !ok {
 		return View{}, ticket.ErrUnknown
 	}
-	if l, err := d.claimed(&o, nil); l != nil || err != nil {
-		return l.view(), err
+	mine, other, err := d.claim(&o)
+	switch {
+	case err != nil:
+		return View{}, err
+	case other != nil && other.life != nil:
+		return other.life.view(), nil
+	case other != nil:
+		return d.Wait(nowhere, o.Tenant, other.id)
 	}
 	now := d.clock.Now()
 	t := ticket.New(rand.Text(), o, now)
 	found, err := d.store.Create(t, nil, now)
 	if err != nil {
+		d.settleClaim(mine, nil, "", err)
 		return View{}, err
 	}
 	if found != nil {
+		d.settleClaim(mine, nil, found.ID, nil)
 		return d.viewOf(found)
 	}
+	d.settleClaim(mine, nil, t.ID, nil)
 	failpoint.Hit("created")
 	d.planner.tell(schedule.AddEvent{Item: item(t, f)})
 	return View{Ticket: t, OnRecord: true}, nil
 }
 
+// nowhere has ended: who waits with it hears how things stand.
+var nowhere = func() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}()
+
 // Redrive has a dead letter go again; see store.Redrive.
 func (d *Desk) Redrive(id string, sure bool, reason string) (*ticket.Ticket, error) {
 	old, err := d.store.Get(id)
--- /dev/null
+++ b/internal/ticket/desk/desk_test.go
@@ -0,0 +1,379 @@
+package desk
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"kitefall/internal/call"
+	"kitefall/internal/dispatch"
+	"kitefall/internal/durable"
+	"kitefall/internal/schedule"
+	"kitefall/internal/standin"
+	"kitefall/internal/steady"
+	"kitefall/internal/ticket"
+	"kitefall/internal/ticket/store"
+	"kitefall/internal/wal"
+)
+
+// catalogue has a function for every name, but those that are gone.
+type catalogue struct{ gone map[string]bool }
+
+func (c *catalogue) Describe(f string) (Function, bool) {
+	return Function{Key: fmt.Sprintf("%016x", crc32.ChecksumIEEE([]byte(f))), Cost: 1}, !c.gone[f]
+}
+
+func (c *catalogue) Call(o *ticket.Order) (*call.Call, error) {
+	f, ok := c.Describe(o.Function)
+	if !ok {
+		return nil, ticket.ErrUnknown
+	}
+	return &call.Call{Class: o.Class, Tenant: o.Tenant, Function: f.Key, Lanes: 4, LoadTime: 10 * time.Millisecond, Body: o.Body}, nil
+}
+
+// house is a desk on a core of its own, which can be restarted on its store.
+type house struct {
+	t     *testing.T
+	path  string
+	core  *dispatch.Core
+	calls atomic.Int64
+	desk  *Desk
+	cat   *catalogue
+	plan  schedule.Config
+	disk  *disk
+}
+
+func (h *house) Submit(k *call.Call) (*dispatch.Handle, error) {
+	h.calls.Add(1)
+	return h.core.Submit(k)
+}
+
+func newHouse(t *testing.T, core *dispatch.Core) *house {
+	h := &house{t: t, path: filepath.Join(t.TempDir(), "tickets.db"), core: core, cat: &catalogue{gone: map[string]bool{}},
+		plan: schedule.Default(), disk: &disk{}}
+	h.plan.Classes = map[string]float64{"reserva": 2, "consulta": 1}
+	h.plan.Backoff, h.plan.MostBackoff, h.plan.RetryFloor = 20*time.Millisecond, 200*time.Millisecond, 100
+	h.start()
+	t.Cleanup(func() { h.core.Stop(); h.desk.Close() })
+	return h
+}
+
+func (h *house) start() {
+	s, err := store.Open(h.path, store.Options{Retention: time.Hour, MostTickets: 1 << 20,
+		Durable: durable.Options{FS: h.disk, Segment: 256 << 10}})
+	require.NoError(h.t, err)
+	h.desk, err = New(s, h, h.cat, h.plan, steady.Start(time.Now()))
+	require.NoError(h.t, err)
+	require.NoError(h.t, h.desk.Resume())
+}
+
+func (h *house) restart(core *dispatch.Core) {
+	h.core.Stop()
+	require.NoError(h.t, h.desk.Close())
+	h.core = core
+	h.start()
+}
+
+func order(class, body string) ticket.Order {
+	return ticket.Order{Tenant: "a", Function: "f", Class: class, Safe: class == "consulta", Urgency: 3,
+		Expires: time.Now().Add(time.Minute), Patience: 2 * time.Second, Body: []byte(body), Fingerprint: []byte(body)}
+}
+
+func (h *house) defers(o ticket.Order) string {
+	h.t.Helper()
+	v, err := h.desk.Defer(o)
+	require.NoError(h.t, err)
+	return v.ID
+}
+
+func (h *house) wait(id string) View {
+	h.t.Helper()
+	ctx, cancel := context.WithDeadline(context.Background(), standin.By())
+	defer cancel()
+	v, err := h.desk.Wait(ctx, "a", id)
+	require.NoError(h.t, err)
+	return v
+}
+
+// disk is one that fills up.
+type disk struct {
+	wal.Disk
+	full atomic.Bool
+}
+
+var errFull = errors.New("no space left on device")
+
+func (d *disk) Create(path string) (wal.File, error) {
+	f, err := d.Disk.Create(path)
+	return fullFile{f, d}, err
+}
+
+func (d *disk) Open(path string) (wal.File, error) {
+	f, err := d.Disk.Open(path)
+	return fullFile{f, d}, err
+}
+
+type fullFile struct {
+	wal.File
+	disk *disk
+}
+
+func (f fullFile) WriteAt(p []byte, at int64) (int, error) {
+	if f.disk.full.Load() {
+		return 0, errFull
+	}
+	return f.File.WriteAt(p, at)
+}
+
+// A refusal does not end a deferred call: it goes again, and its history tells.
+func TestRefusedRunsGoAgain(t *testing.T) {
+	w := standin.NewWorker(t)
+	h := newHouse(t, standin.NewCore(t, w))
+	var n atomic.Int64
+	w.Serve(func(c *standin.Call) {
+		if n.Add(1) <= 3 {
+			c.Answer(67, "", "")
+			return
+		}
+		c.OK("booked")
+	})
+	v := h.wait(h.defers(order("reserva", "slot")))
+	assert.Equal(t, []any{ticket.Served, "booked"}, []any{v.End, string(v.Result)})
+	assert.Greater(t, v.Runs, 1)
+	assert.Equal(t, ticket.Created, v.History[0].Event)
+	assert.Equal(t, ticket.Answered, v.History[len(v.History)-1].Event)
+}
+
+// The whole fleet is gone and comes back empty with 5,000 tickets waiting: all are served, no more loads are ordered
+// than the rule allows at any moment, and calls that somebody waits for go on being served.
+func TestDarkFleetComesBackEmpty(t *testing.T) {
+	s := standin.Settings()
+	s.LoadWindow, s.LoadFree, s.LoadShare = 10*time.Second, 6, 0.15
+	h := newHouse(t, standin.NewCoreOf(t, s))
+	const n, functions = 5000, 40
+	ids := make([]string, n)
+	var filing sync.WaitGroup
+	for g := range 50 {
+		filing.Go(func() {
+			for i := g; i < n; i += 50 {
+				o := order([]string{"reserva", "consulta"}[i%2], fmt.Sprintf("b%d", i))
+				o.Function = fmt.Sprint("f", i%functions)
+				ids[i] = h.defers(o)
+			}
+		})
+	}
+	filing.Wait()
+	require.Eventually(t, h.dark, 10*time.Second, 5*time.Millisecond)
+	waited, answered := h.calls.Load(), map[string]int{}
+	assert.Less(t, waited, int64(200), "a dark fleet is probed, not stormed")
+	var mu sync.Mutex
+	var workers []*standin.Worker
+	for range 3 {
+		w := standin.NewWorker(t)
+		w.Empty()
+		w.Serve(func(c *standin.Call) {
+			mu.Lock()
+			answered[c.Body]++
+			mu.Unlock()
+			c.OK(c.Body)
+		})
+		workers = append(workers, w)
+	}
+	h.core.News(standin.List(workers...))
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(50*time.Second))
+	defer cancel()
+	served, asked, left := 0, 0, len(ids)
+	for left > 0 && ctx.Err() == nil {
+		o := order("consulta", fmt.Sprintf("now %d", asked))
+		o.Function, o.Expires = "f1", time.Now().Add(2*time.Second)
+		v, err := h.desk.Invoke(ctx, o)
+		require.NoError(t, err)
+		asked++
+		if v.End == ticket.Served {
+			served++
+		}
+		orders := 0
+		for _, w := range workers {
+			orders += len(w.Orders())
+		}
+		require.LessOrEqual(t, float64(orders), 6+0.15*float64(h.calls.Load())+1)
+		for left > 0 {
+			v, err := h.desk.Wait(nowhere, "a", ids[left-1])
+			require.NoError(t, err)
+			if v.State != ticket.Ended {
+				break
+			}
+			require.Equal(t, ticket.Served, v.End, "%v", v.History)
+			left--
+		}
+	}
+	require.Zero(t, left)
+	for body, times := range answered {
+		require.True(t, body[0] != 'b' || times == 1, "%s was answered %d times", body, times)
+	}
+	t.Logf("%d calls while dark; then %d of %d foreground calls served", waited, served, asked)
+	assert.GreaterOrEqual(t, float64(served), 0.95*float64(asked))
+}
+
+func (h *house) dark() bool {
+	answer := make(chan bool, 1)
+	h.desk.planner.ask(question{look: func(s *schedule.Scheduler) { answer <- s.Dark() }})
+	return <-answer
+}
+
+// Given up in every state, also while its mark is being written: one final answer, and what was written is called off.
+func TestGivenUpInEveryState(t *testing.T) {
+	w := standin.NewWorker(t)
+	h := newHouse(t, standin.NewCore(t, w))
+	later := order("reserva", "later")
+	later.NotBefore = time.Now().Add(30 * time.Second)
+	id := h.defers(later)
+	v, err := h.desk.GiveUp("a", id)
+	require.NoError(t, err)
+	assert.Equal(t, []any{ticket.GivenUp, false}, []any{v.End, v.MayHaveRun})
+	id = h.defers(order("reserva", "running"))
+	k := w.Next()
+	_, err = h.desk.GiveUp("b", id)
+	assert.ErrorIs(t, err, ticket.ErrUnknown, "another tenant's")
+	v, err = h.desk.GiveUp("a", id)
+	require.NoError(t, err)
+	assert.Equal(t, []any{ticket.GivenUp, true}, []any{v.End, v.MayHaveRun})
+	assert.Equal(t, k.ID, <-w.Gone)
+	k.OK("too late")
+	assert.Equal(t, ticket.GivenUp, h.wait(id).End)
+	v, err = h.desk.GiveUp("a", id)
+	require.NoError(t, err)
+	assert.Equal(t, ticket.GivenUp, v.End, "once more")
+	var work sync.WaitGroup
+	var ran atomic.Int64
+	w.Serve(func(c *standin.Call) { ran.Add(1); c.OK("x") })
+	go func() {
+		for range w.Gone {
+		}
+	}()
+	for i := range 300 { // at every moment between its order and its answer
+		work.Go(func() {
+			v, err := h.desk.Defer(order("reserva", fmt.Sprintf("race %d", i)))
+			assert.NoError(t, err)
+			for range i % 40 {
+				h.desk.Wait(nowhere, "a", v.ID) // lets the others go on
+			}
+			first, err := h.desk.GiveUp("a", v.ID)
+			assert.NoError(t, err)
+			last := h.wait(v.ID)
+			assert.Equal(t, first.End, last.End)
+			assert.True(t, last.End == ticket.GivenUp || last.End == ticket.Served, last.End)
+		})
+	}
+	work.Wait()
+	require.Eventually(t, func() bool { // no run's place is lost by it
+		n := make(chan int, 1)
+		h.desk.planner.ask(question{look: func(s *schedule.Scheduler) { n <- s.Running() + s.Waiting() }})
+		return <-n == 0 && h.core.Open() == 0
+	}, 10*time.Second, time.Millisecond)
+}
+
+// The disk fills up and has room again: refusals meanwhile, nothing told that is not stored, nothing lost.
+func TestFullDisk(t *testing.T) {
+	w := standin.NewWorker(t)
+	h := newHouse(t, standin.NewCore(t, w))
+	id := h.defers(order("reserva", "before"))
+	k := w.Next()
+	h.disk.full.Store(true)
+	_, err := h.desk.Defer(order("reserva", "full"))
+	assert.ErrorIs(t, err, ticket.ErrStore)
+	o := order("reserva", "full too")
+	o.Key = "k"
+	_, err = h.desk.Invoke(context.Background(), o)
+	assert.ErrorIs(t, err, ticket.ErrStore)
+	o = order("consulta", "needs no disk")
+	answer := make(chan View, 1)
+	go func() {
+		v, err := h.desk.Invoke(context.Background(), o)
+		assert.NoError(t, err)
+		answer <- v
+	}()
+	w.Next().OK("free")
+	assert.Equal(t, "free", string((<-answer).Result))
+	k.OK("booked")
+	v, err := h.desk.Wait(nowhere, "a", id)
+	require.NoError(t, err)
+	assert.Equal(t, ticket.Running, v.State, "an answer that is not stored is not told")
+	h.disk.full.Store(false)
+	assert.Equal(t, "booked", string(h.wait(id).Result))
+	assert.Equal(t, []int{1, 0, 0}, []int{w.Runs("before"), w.Runs("full"), w.Runs("full too")})
+}
+
+// The same key at the same moment, synchronous and deferred: one run, one answer for all.
+func TestOneKeyManyTimesAtOnce(t *testing.T) {
+	w := standin.NewWorker(t)
+	h := newHouse(t, standin.NewCore(t, w))
+	w.Serve(func(c *standin.Call) { c.OK("booked") })
+	for i := range 40 {
+		var work sync.WaitGroup
+		body := fmt.Sprintf("slot %d", i)
+		for n := range 6 {
+			work.Go(func() {
+				o := order("reserva", body)
+				o.Key = body
+				var v View
+				var err error
+				if n%2 == 0 {
+					v, err = h.desk.Invoke(context.Background(), o)
+				} else {
+					v, err = h.desk.Defer(o)
+				}
+				if assert.NoError(t, err) && v.State != ticket.Ended {
+					v = h.wait(v.ID)
+				}
+				assert.Equal(t, "booked", string(v.Result))
+			})
+		}
+		work.Wait()
+		require.Equal(t, 1, w.Runs(body))
+	}
+	_, err := h.desk.Defer(ticket.Order{Tenant: "a", Key: "slot 1", Function: "f", Fingerprint: []byte("other")})
+	assert.ErrorIs(t, err, ticket.ErrMismatch)
+}
+
+// A restart with tickets in every state; one function is gone from the catalogue, one ticket's time is over.
+func TestRestart(t *testing.T) {
+	w := standin.NewWorker(t)
+	h := newHouse(t, standin.NewCore(t, w))
+	booked, looked := h.defers(order("reserva", "r")), h.defers(order("consulta", "c"))
+	w.Next()
+	w.Next()
+	later := order("reserva", "later")
+	later.NotBefore = time.Now().Add(200 * time.Millisecond)
+	over, gone := later, later
+	over.NotBefore, over.Expires = time.Now().Add(time.Millisecond), time.Now().Add(2*time.Millisecond)
+	over.Patience = time.Millisecond
+	gone.Function = "g"
+	waits, expires, withdrawn := h.defers(later), h.defers(over), h.defers(gone)
+	h.cat.gone["g"] = true
+	h.restart(standin.NewCore(t, w))
+	v := h.wait(booked)
+	assert.Equal(t, []any{ticket.Failed, true, true}, []any{v.End, v.MayHaveRun, v.Dead})
+	k := w.Next()
+	assert.Equal(t, "c", k.Body)
+	k.OK("free")
+	assert.Equal(t, ticket.Served, h.wait(looked).End)
+	w.Next().OK("booked")
+	assert.Equal(t, ticket.Served, h.wait(waits).End)
+	assert.Equal(t, ticket.Late, h.wait(expires).End)
+	assert.Equal(t, ticket.Failed, h.wait(withdrawn).End)
+	heir, err := h.desk.Redrive(booked, true, "looked it up: no such booking")
+	require.NoError(t, err)
+	w.Next().OK("booked now")
+	assert.Equal(t, "booked now", string(h.wait(heir.ID).Result))
+	assert.Equal(t, ticket.Failed, h.wait(booked).End, "its own answer stays")
+}
--- a/internal/ticket/desk/life.go
+++ b/internal/ticket/desk/life.go
@@ -21,6 +21,7 @@
 type life struct {
 	id, tenant string
 	done       chan struct{} // closed once the final answer may be told
+	claim      *claim
 
 	mu       sync.Mutex // held also while the ticket is put on record: its steps come one after another
 	ticket   *ticket.Ticket
@@ -28,8 +29,7 @@
 	result   []byte
 	handle   *dispatch.Handle
 	givenUp  bool
-	other    string // the ticket that its key had already
-	err      error  // nothing ran, and it could not be put on record
+	err      error // nothing ran, and it could not be put on record
 }
 
 func (l *life) view() View {
@@ -41,25 +41,53 @@
 	return View{Ticket: new(*l.ticket), Result: l.result, OnRecord: l.onRecord}
 }
 
-// claimed finds the synchronous call that has an order's key, or, where there is none, gives the key to the life.
-func (d *Desk) claimed(o *ticket.Order, to *life) (*life, error) {
+// claim is a tenant's Idempotency-Key while its first order is being taken, and, for a synchronous call, until that
+// has ended: what is not on record yet cannot be found there.
+type claim struct {
+	key         string
+	fingerprint []byte
+	ready       chan struct{} // closed once the rest is set
+	life        *life         // the synchronous call that has the key
+	id          string        // or else the ticket on record
+	err         error
+}
+
+// claim takes an order's key, or waits until it is known who has it. Without a key there is nothing to take.
+func (d *Desk) claim(o *ticket.Order) (mine, other *claim, err error) {
+	c := &claim{fingerprint: o.Fingerprint, ready: make(chan struct{})}
 	if o.Key == "" {
-		return nil, nil
+		return c, nil, nil
 	}
-	key := o.Tenant + "\x00" + o.Key
+	c.key = o.Tenant + "\x00" + o.Key
+	d.mu.Lock()
+	first := d.claims[c.key]
+	if first == nil {
+		d.claims[c.key] = c
+	}
+	d.mu.Unlock()
+	if first == nil {
+		return c, nil, nil
+	}
+	if !bytes.Equal(first.fingerprint, o.Fingerprint) {
+		return nil, nil, ticket.ErrMismatch
+	}
+	<-first.ready
+	return nil, first, first.err
+}
+
+// settleClaim tells who has the key. Unless that is a synchronous call, the record knows it from here on.
+func (d *Desk) settleClaim(c *claim, l *life, id string, err error) {
+	c.life, c.id, c.err = l, id, err
+	if close(c.ready); l == nil {
+		d.unclaim(c)
+	}
+}
+
+func (d *Desk) unclaim(c *claim) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	l := d.claims[key]
-	switch {
-	case l == nil:
-		if to != nil {
-			d.claims[key] = to
-		}
-		return nil, nil
-	case !bytes.Equal(l.ticket.Fingerprint, o.Fingerprint): // set once, before the life is known to others
-		return nil, ticket.ErrMismatch
-	default:
-		return l, nil
+	if d.claims[c.key] == c {
+		delete(d.claims, c.key)
 	}
 }
 
@@ -72,23 +100,27 @@
 		return View{}, ticket.ErrUnknown
 	}
 	now := d.clock.Now()
-	t := ticket.New(rand.Text(), o, now)
-	l := &life{id: t.ID, tenant: o.Tenant, done: make(chan struct{}), ticket: t}
-	other, err := d.claimed(&o, l)
-	if err != nil {
+	mine, other, err := d.claim(&o)
+	switch {
+	case err != nil:
 		return View{}, err
-	}
-	if other != nil {
-		return d.follow(ctx, other)
+	case other != nil && other.life != nil:
+		return d.follow(ctx, other.life)
+	case other != nil:
+		return d.Wait(ctx, o.Tenant, other.id)
 	}
 	found, err := d.store.Find(&o, now)
 	if found != nil || err != nil {
-		d.unclaim(l)
 		if err != nil {
+			d.settleClaim(mine, nil, "", err)
 			return View{}, err
 		}
+		d.settleClaim(mine, nil, found.ID, nil)
 		return d.Wait(ctx, o.Tenant, found.ID)
 	}
+	t := ticket.New(rand.Text(), o, now)
+	l := &life{id: t.ID, tenant: o.Tenant, done: make(chan struct{}), ticket: t, claim: mine}
+	d.settleClaim(mine, l, "", nil)
 	d.mu.Lock()
 	d.lives[l.id] = l
 	d.mu.Unlock()
@@ -129,25 +161,14 @@
 	case <-ctx.Done():
 	}
 	l.mu.Lock()
-	other, err := l.other, l.err
+	err := l.err
 	l.mu.Unlock()
 	if err != nil {
 		return View{}, err
 	}
-	if other != "" {
-		return d.Wait(ctx, l.tenant, other)
-	}
 	return l.view(), nil
 }
 
-func (d *Desk) unclaim(l *life) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if key := l.tenant + "\x00" + l.ticket.Key; d.claims[key] == l {
-		delete(d.claims, key)
-	}
-}
-
 var errOther = errors.New("the key has a ticket already")
 
 // mark puts a call on record just before its first byte is written to a worker.
@@ -182,8 +203,7 @@
 		if err != nil {
 			return err
 		}
-		if found != nil { // a deferred one under the same key came first
-			l.other = found.ID
+		if found != nil { // its claim keeps others from the key
 			return errOther
 		}
 		l.onRecord = true
@@ -234,7 +254,7 @@
 	_, open := d.lives[l.id]
 	delete(d.lives, l.id)
 	d.mu.Unlock()
-	d.unclaim(l)
+	d.unclaim(l.claim)
 	if open {
 		close(l.done)
 	}
--- a/internal/ticket/life.go
+++ b/internal/ticket/life.go
@@ -34,6 +34,17 @@
 // MarshalText writes the event's name.
 func (e Event) MarshalText() ([]byte, error) { return []byte(e.String()), nil }
 
+// UnmarshalText reads an event's name.
+func (e *Event) UnmarshalText(text []byte) error {
+	for i, name := range eventNames {
+		if name == string(text) {
+			*e = Event(i)
+			return nil
+		}
+	}
+	return fmt.Errorf("no event %q", text)
+}
+
 // Fact is an event with what is known of it.
 type Fact struct {
 	Event
--- a/internal/ticket/store/store.go
+++ b/internal/ticket/store/store.go
@@ -95,7 +95,8 @@
 }
 
 var encoder = func() cbor.EncMode {
-	m, err := cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode()
+	// Exact to the nanosecond: times are parts of the indexes' keys, and a ticket is read to find them.
+	m, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
 	if err != nil {
 		panic(err)
 	}
--- a/internal/worker/link.go
+++ b/internal/worker/link.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"kitefall/internal/failpoint"
 	"kitefall/internal/quiet"
 	"kitefall/rules"
 )
@@ -312,7 +313,10 @@
 		return
 	}
 	c.net.SetWriteDeadline(j.until.Add(l.config.DialTimeout))
-	if n, err := c.net.Write(data); err != nil {
+	failpoint.Hit("frame-before-write")
+	n, err := c.net.Write(data)
+	failpoint.Hit("frame-after-write")
+	if err != nil {
 		if n == len(data) || data[1] == codeGiveUp {
 			j = nil
 		}
