Make a call known by its id before others hear of it; test clocks that jump

Cause: a synchronous call under a key was told to a second order under that key before it stood among the calls that can be asked for, so that a poll in that moment heard 404. The race detector's pace showed it.

Change: it stands there first.

--- a/internal/ticket/desk/desk_test.go
+++ b/internal/ticket/desk/desk_test.go
@@ -50,6 +50,7 @@
 	cat   *catalogue
 	plan  schedule.Config
 	disk  *disk
+	wall  time.Duration // how far the machine's clock is off
 }
 
 func (h *house) Submit(k *call.Call) (*dispatch.Handle, error) {
@@ -68,10 +69,14 @@
 }
 
 func (h *house) start() {
-	s, err := store.Open(h.path, store.Options{Retention: time.Hour, MostTickets: 1 << 20,
+	s, err := store.Open(h.path, store.Options{Retention: 3 * time.Hour, MostTickets: 1 << 20,
 		Durable: durable.Options{FS: h.disk, Segment: 256 << 10}})
 	require.NoError(h.t, err)
-	h.desk, err = New(s, h, h.cat, h.plan, steady.Start(time.Now()))
+	begin := time.Now()
+	latest, err := s.Seen(begin.Add(h.wall))
+	require.NoError(h.t, err)
+	clock := steady.New(begin.Add(h.wall), latest, func() time.Duration { return time.Since(begin) })
+	h.desk, err = New(s, h, h.cat, h.plan, clock)
 	require.NoError(h.t, err)
 	require.NoError(h.t, h.desk.Resume())
 }
@@ -237,19 +242,27 @@
 	later := order("reserva", "later")
 	later.NotBefore = time.Now().Add(30 * time.Second)
 	id := h.defers(later)
+	others := func() { // in every state there is no such ticket for another tenant
+		t.Helper()
+		_, err := h.desk.Wait(nowhere, "b", id)
+		assert.ErrorIs(t, err, ticket.ErrUnknown)
+		_, err = h.desk.GiveUp("b", id)
+		assert.ErrorIs(t, err, ticket.ErrUnknown)
+	}
+	others()
 	v, err := h.desk.GiveUp("a", id)
 	require.NoError(t, err)
 	assert.Equal(t, []any{ticket.GivenUp, false}, []any{v.End, v.MayHaveRun})
 	id = h.defers(order("reserva", "running"))
 	k := w.Next()
-	_, err = h.desk.GiveUp("b", id)
-	assert.ErrorIs(t, err, ticket.ErrUnknown, "another tenant's")
+	others()
 	v, err = h.desk.GiveUp("a", id)
 	require.NoError(t, err)
 	assert.Equal(t, []any{ticket.GivenUp, true}, []any{v.End, v.MayHaveRun})
 	assert.Equal(t, k.ID, <-w.Gone)
 	k.OK("too late")
 	assert.Equal(t, ticket.GivenUp, h.wait(id).End)
+	others()
 	v, err = h.desk.GiveUp("a", id)
 	require.NoError(t, err)
 	assert.Equal(t, ticket.GivenUp, v.End, "once more")
@@ -377,3 +390,28 @@
 	assert.Equal(t, "booked now", string(h.wait(heir.ID).Result))
 	assert.Equal(t, ticket.Failed, h.wait(booked).End, "its own answer stays")
 }
+
+// The machine's clock is set back by an hour between two runs, and later forward: a clock set back neither wakes
+// anything late nor ends it early; one set forward ends what would have ended by then, and nothing else.
+func TestClockThatJumpsBetweenRuns(t *testing.T) {
+	w := standin.NewWorker(t)
+	h := newHouse(t, standin.NewCore(t, w))
+	soon, minute, day := order("reserva", "soon"), order("reserva", "minute"), order("reserva", "day")
+	soon.NotBefore = time.Now().Add(300 * time.Millisecond)
+	minute.NotBefore = time.Now().Add(30 * time.Second)
+	day.NotBefore, day.Expires = time.Now().Add(2*time.Hour), time.Now().Add(24*time.Hour)
+	first, second, third := h.defers(soon), h.defers(minute), h.defers(day)
+	h.wall = -time.Hour
+	h.restart(standin.NewCore(t, w))
+	w.Next().OK("booked")
+	assert.Equal(t, ticket.Served, h.wait(first).End, "in its time, not an hour later")
+	h.wall = time.Hour
+	h.restart(standin.NewCore(t, w))
+	assert.Equal(t, ticket.Late, h.wait(second).End)
+	h.wall = -time.Hour
+	h.restart(standin.NewCore(t, w))
+	v, err := h.desk.Wait(nowhere, "a", third)
+	require.NoError(t, err)
+	assert.Equal(t, ticket.Waiting, v.State)
+	assert.Equal(t, ticket.Served, h.wait(first).End, "answers stay as they are")
+}
--- a/internal/ticket/desk/life.go
+++ b/internal/ticket/desk/life.go
@@ -120,10 +120,10 @@
 	}
 	t := ticket.New(rand.Text(), o, now)
 	l := &life{id: t.ID, tenant: o.Tenant, done: make(chan struct{}), ticket: t, claim: mine}
-	d.settleClaim(mine, l, "", nil)
 	d.mu.Lock()
 	d.lives[l.id] = l
 	d.mu.Unlock()
+	d.settleClaim(mine, l, "", nil) // from here on others may ask for it by its id
 	k.ID, k.Deadline = mathrand.Uint64(), d.clock.Machine(o.Expires)
 	if !o.Safe {
 		k.MayRun = func() error { return d.mark(l) }
