Give back no page past the mapping of the store's file

Cause: to give the file's pages back to the system, the store took the file's length for that of its mapping. bbolt makes the file up to 16 MB longer; behind the mapping lies the program's own memory, and the advice emptied it. The process crashed in a measurement. Only with the invoke front on: the store is not there otherwise.

Change: the advice is given inside a transaction, during which the file is not mapped anew, and reaches to the pages in use; a test compares it with the system's own table of mappings while the file grows to 70 MB.

--- a/internal/durable/care.go
+++ b/internal/durable/care.go
@@ -44,18 +44,24 @@
 }
 
 // trimEvery is how often pages of the file that were looked at are given back.
-const trimEvery = 200 * time.Millisecond
+const trimEvery = 50 * time.Millisecond
 
 // trim gives the pages of the file that the process has looked at back to the system: bbolt maps the file, and each
 // page once read would count as the process's memory until somebody needs it. Reading one again maps it again.
 func (db *DB) trim() {
-	info, err := os.Stat(db.path)
-	at := db.file.Info().Data
-	if err != nil || at == 0 || info.Size() == 0 {
-		return
-	}
-	// It only advises: where the system does not take it, the pages stay.
-	syscall.Syscall(syscall.SYS_MADVISE, at, uintptr(info.Size()), syscall.MADV_DONTNEED)
+	db.file.View(func(tx *bolt.Tx) error { // bbolt does not map the file anew during a transaction
+		if at, size := db.mapped(tx); size > 0 {
+			// It only advises: where the system does not take it, the pages stay.
+			syscall.Syscall(syscall.SYS_MADVISE, at, size, syscall.MADV_DONTNEED)
+		}
+		return nil
+	})
+}
+
+// mapped is where the pages that are in use are mapped. The file may be longer than its mapping, by as much as bbolt
+// makes it grow at a time; what lies behind the mapping is the program's own memory.
+func (db *DB) mapped(tx *bolt.Tx) (at, size uintptr) {
+	return db.file.Info().Data, uintptr(tx.Size())
 }
 
 // trimOften trims while a start looks at the whole file, until stop.
@@ -63,7 +69,7 @@
 	done := make(chan struct{})
 	var work sync.WaitGroup
 	work.Go(func() {
-		tick := time.NewTicker(10 * time.Millisecond)
+		tick := time.NewTicker(2 * time.Millisecond)
 		defer tick.Stop()
 		for {
 			select {
--- a/internal/durable/durable_test.go
+++ b/internal/durable/durable_test.go
@@ -7,12 +7,14 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	bolt "go.etcd.io/bbolt"
 
 	"kitefall/internal/wal"
 )
@@ -206,6 +208,36 @@
 	assert.Len(t, all(t, open(t, path, Options{}), 0), len(kept), "what was refused is not there, what was taken is")
 }
 
+// Pages are given back while the file grows and is mapped anew. The advice must never reach past the mapping, behind
+// which the program's own memory lies: bbolt makes the file longer than that.
+func TestTrimKeepsToTheMapping(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "x.db")
+	db := open(t, path, Options{Moves: 1 << 20})
+	for i := range 230 {
+		require.NoError(t, db.Do(func(tx *Tx) error { tx.Put(0, fmt.Appendf(nil, "%06d", i), make([]byte, 300_000)); return nil }))
+		require.NoError(t, db.between(func() error {
+			db.trim()
+			return db.file.View(func(tx *bolt.Tx) error {
+				maps, err := os.ReadFile("/proc/self/maps")
+				require.NoError(t, err)
+				at, size := db.mapped(tx)
+				for line := range strings.Lines(string(maps)) {
+					var from, to uintptr
+					fmt.Sscanf(line, "%x-%x", &from, &to)
+					if from == at {
+						require.LessOrEqual(t, at+size, to)
+						require.Contains(t, line, path)
+						return nil
+					}
+				}
+				return errors.New("the file is not mapped")
+			})
+		}))
+	}
+	require.NoError(t, db.Verify())
+	require.Len(t, all(t, db, 0), 230)
+}
+
 func BenchmarkGroupCommit(b *testing.B) {
 	db := open(b, filepath.Join(b.TempDir(), "x.db"), Options{})
 	value := make([]byte, 400)
