--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -257,7 +257,7 @@
 		c.at(time.Now().Add(a.After), func() { c.feed(rules.WakeEvent{Ref: a.Ref}) })
 	case rules.Log:
 		slog.Info("module: " + a.Text)
-	default: // Probe, Watch and Fetch: neither the board nor the workers take these here
+	default: // Watch and Fetch: the board takes neither here
 		slog.Error("core: the module asked for what is not to be had here", "action", fmt.Sprintf("%T", a))
 	}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -41,32 +41,31 @@
 func NewDecoder() *Decoder { return &Decoder{lists: map[int][]rules.Worker{}} }
 
 type message struct {
-	Msg        string             `json:"msg"`
-	Dispatcher int64              `json:"dispatcher"`
-	MsgID      int64              `json:"msg_id"`
-	N          int                `json:"n"`
-	Runner     string             `json:"runner"`
-	Function   string             `json:"function"`
-	Code       int                `json:"code"`
-	Duration   int64              `json:"duration_us"`
-	Closed     bool               `json:"closed"`
-	Detail     int                `json:"detail"`
-	Feedback   map[string]float64 `json:"feedback"`
-	Copies     int                `json:"copies"`
-	MemMB      float64            `json:"mem_mb"`
-	Estimate   int64              `json:"estimate_us"`
-	Band       string             `json:"band"`
-	TimeLeft   int64              `json:"time_left_us"`
-	Again      bool               `json:"again_by_client"`
-	Width      float64            `json:"width"`
-	StartMS    float64            `json:"start_ms"`
-	Party      any                `json:"party"`
-	Ref        int64              `json:"ref"`
-	Seed       json.Number        `json:"rng_seed"`
-	Profile    json.RawMessage    `json:"profile_data"`
-	Slot       int                `json:"slot"`
-	Scope      string             `json:"scope"`
-	Members    []member           `json:"members"`
+	Msg        string          `json:"msg"`
+	Dispatcher int64           `json:"dispatcher"`
+	MsgID      int64           `json:"msg_id"`
+	N          int             `json:"n"`
+	Runner     string          `json:"runner"`
+	Function   string          `json:"function"`
+	Code       int             `json:"code"`
+	Duration   int64           `json:"duration_us"`
+	Closed     bool            `json:"closed"`
+	Detail     int             `json:"detail"`
+	Copies     int             `json:"copies"`
+	MemMB      float64         `json:"mem_mb"`
+	Estimate   int64           `json:"estimate_us"`
+	Band       string          `json:"band"`
+	TimeLeft   int64           `json:"time_left_us"`
+	Again      bool            `json:"again_by_client"`
+	Width      float64         `json:"width"`
+	StartMS    float64         `json:"start_ms"`
+	Party      any             `json:"party"`
+	Ref        int64           `json:"ref"`
+	Seed       json.Number     `json:"rng_seed"`
+	Profile    json.RawMessage `json:"profile_data"`
+	Slot       int             `json:"slot"`
+	Scope      string          `json:"scope"`
+	Members    []member        `json:"members"`
 }
 
 type member struct {
@@ -109,7 +108,6 @@
 	WorthBy string `json:"worth_by"`
 	Caps    struct {
 		Cancel        bool  `json:"cancel"`
-		Probing       bool  `json:"probing"`
 		SecondCopies  bool  `json:"second_copies"`
 		TryLimit      int   `json:"try_limit"`
 		OpenCap       int   `json:"open_cap"`
@@ -117,11 +115,8 @@
 		MaxRetryAfter int64 `json:"max_retry_after_us"`
 		DialTimeout   int64 `json:"dial_timeout_us"`
 	} `json:"caps"`
-	Discovery string `json:"discovery"`
-	Weights   string `json:"weights"`
-	Reporting struct {
-		How string `json:"how"`
-	} `json:"reporting"`
+	Discovery  string `json:"discovery"`
+	Weights    string `json:"weights"`
 	Guarantees struct {
 		AskWithin   int64   `json:"ask_within_us"`
 		ColdFrom    float64 `json:"cold_from"`
@@ -213,7 +208,7 @@
 	case "finished":
 		return rules.OutcomeEvent{ID: request, Attempt: m.N, Worker: worker, Status: statuses[m.Code],
 			Took: us(m.Duration), Closed: m.Closed, Warmth: rules.Warmth(m.Detail & 7), Crowd: m.Detail >> 3,
-			Report: report(m.Feedback)}
+		}
 	case "established":
 		return rules.StartedEvent{ID: request, Attempt: m.N, Worker: worker, Took: us(m.Duration)}
 	case "client_left":
@@ -221,9 +216,6 @@
 	case "stands":
 		return rules.LoadedEvent{Worker: worker, Function: function, Status: statuses[m.Code],
 			Took: us(m.Duration), Copies: m.Copies}
-	case "health_result":
-		return rules.ProbedEvent{Worker: worker, Status: statuses[m.Code], Took: us(m.Duration),
-			Report: report(m.Feedback)}
 	case "wake":
 		return rules.WakeEvent{Ref: m.Ref}
 	}
@@ -238,20 +230,6 @@
 	return uint64(v)
 }
 
-func report(f map[string]float64) *rules.Report {
-	if f == nil {
-		return nil
-	}
-	value := func(name string) float64 {
-		if v, ok := f[name]; ok {
-			return v
-		}
-		return -1
-	}
-	return &rules.Report{Held: value("concurrent"), Queue: value("depth"), Busy: value("load_share"),
-		Loading: value("x1"), Pinned: value("x0")}
-}
-
 func workers(members []member) []rules.Worker {
 	list := make([]rules.Worker, 0, len(members))
 	for _, m := range members {
@@ -281,7 +259,7 @@
 	s := rules.Settings{
 		Peers: p.Peers, Position: p.Position, Zone: p.Zone, Zones: p.Zones, Step: us(p.Step),
 		OverShareWorth: p.OverShare, MarksRepeats: p.Clients.MarksRetry, WorthByWork: p.WorthBy == "work",
-		Cancel: p.Caps.Cancel, Probes: p.Caps.Probing, SecondCopies: p.Caps.SecondCopies,
+		Cancel: p.Caps.Cancel, SecondCopies: p.Caps.SecondCopies,
 		MaxAttempts: p.Caps.TryLimit, MaxOpen: p.Caps.OpenCap, RetryAfter: p.Caps.RetryAfter,
 		MaxRetryAfter: us(p.Caps.MaxRetryAfter), DialTimeout: us(p.Caps.DialTimeout),
 		AskList: p.Discovery == "ask", AskWithin: us(p.Guarantees.AskWithin), LiveWeights: p.Weights == "live",
@@ -293,12 +271,6 @@
 		LoadWindow: us(p.Domain.LoadPeriod), TellsWarm: p.Domain.TellsWarm, TellsCrowd: p.Domain.TellsCrowd,
 		MemoryByKind: map[string]float64{},
 	}
-	switch p.Reporting.How {
-	case "inline":
-		s.Reports = rules.ReportInline
-	case "on_probe":
-		s.Reports = rules.ReportByProbe
-	}
 	for i, kind := range p.Kinds {
 		if i < len(p.Domain.Memory) {
 			s.MemoryByKind[kind] = p.Domain.Memory[i]
@@ -389,8 +361,6 @@
 			s.Msg, s.Runner, s.Function, s.Copies = "start_copy", a.Worker, &a.Function, &a.Copies
 		case rules.Drop:
 			s.Msg, s.Runner, s.Function = "unmount", a.Worker, &a.Function
-		case rules.Probe:
-			s.Msg, s.Runner = "sample", a.Worker
 		case rules.Wake:
 			s.Msg, s.Span, s.Ref = "sleep", micros(a.After), &a.Ref
 		case rules.Watch:
--- a/rules/api.go
+++ b/rules/api.go
@@ -37,16 +37,6 @@
 	GroupCell              // the workers of one cell
 )
 
-// ReportMode says when workers' load reports come.
-type ReportMode int
-
-// The report modes.
-const (
-	ReportOff ReportMode = iota
-	ReportInline
-	ReportByProbe
-)
-
 // Class is one class of requests.
 type Class struct {
 	Name       string
@@ -84,7 +74,6 @@
 
 	// What is allowed.
 	Cancel        bool
-	Probes        bool
 	SecondCopies  bool // two attempts of one request may be out at a time
 	MaxAttempts   int
 	MaxOpen       int
@@ -95,7 +84,6 @@
 	AskList     bool          // the list comes only after Watch or Fetch
 	AskWithin   time.Duration // with AskList: longest silence before the list counts as known
 	LiveWeights bool          // Worker.Weight falls with the worker's load
-	Reports     ReportMode
 	DialTimeout time.Duration
 
 	// The rules' figures.
@@ -140,15 +128,6 @@
 	Started time.Duration // last start, on the clock of now; 0: long ago
 }
 
-// Load report values, where a worker sends them. A value not sent is negative.
-type Report struct {
-	Held    float64 // requests held
-	Queue   float64 // requests in the queue
-	Busy    float64 // busy share of its processors
-	Loading float64 // loads under way or waiting
-	Pinned  float64 // share of its memory that can't be freed
-}
-
 // Event is something that happened. The types with the suffix Event implement it.
 type Event interface{ event() }
 
@@ -183,7 +162,7 @@
 	Repeat   bool          // the client marks a retry
 }
 
-// Status says how an attempt, a probe or a load ended.
+// Status says how an attempt or a load ended.
 type Status int
 
 // The statuses. Anything unknown is to be given as Failed: it may have run.
@@ -221,7 +200,6 @@
 	Closed  bool // the client has its final answer
 	Warmth  Warmth
 	Crowd   int // requests for the same function held when this one came, where told
-	Report  *Report
 }
 
 // StartedEvent tells that a stream has begun; the attempt is now the client's.
@@ -244,14 +222,6 @@
 	Copies   int // copies loaded there now
 }
 
-// ProbedEvent answers a Probe.
-type ProbedEvent struct {
-	Worker WorkerID
-	Status Status
-	Took   time.Duration
-	Report *Report
-}
-
 // WakeEvent tells that a Wake fell due.
 type WakeEvent struct{ Ref int64 }
 
@@ -261,7 +231,6 @@
 func (StartedEvent) event() {}
 func (GoneEvent) event()    {}
 func (LoadedEvent) event()  {}
-func (ProbedEvent) event()  {}
 func (WakeEvent) event()    {}
 
 // Action is something to carry out at once, in the order given.
@@ -302,9 +271,6 @@
 	Function FunctionID
 }
 
-// Probe asks after a worker.
-type Probe struct{ Worker WorkerID }
-
 // Wake asks for a WakeEvent after a time.
 type Wake struct {
 	After time.Duration
@@ -326,7 +292,6 @@
 func (Fail) action()   {}
 func (Load) action()   {}
 func (Drop) action()   {}
-func (Probe) action()  {}
 func (Wake) action()   {}
 func (Watch) action()  {}
 func (Fetch) action()  {}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -21,21 +21,29 @@
 	crowdWeight = 2.0                    // own calls counted a worker that weigh as much as the crowds met
 	ownEnough   = 3.0                    // own calls counted a worker from which on they judge workers ...
 	manyPeers   = 10                     // ... and always where there are fewer dispatchers than this
-	freshFor    = 500 * time.Millisecond // what is known of a worker's queue is used for this time
-	reportFor   = 3 * time.Second        // ... and for this time where own calls tell more
-	mostAsked   = 3                      // workers asked after for one request, and places beyond a group
+	mostWidened = 3                      // places beyond its group where a request looks
 	sureUse     = 3.0                    // expected calls within the idle time by which a copy is taken to stand
 	askAgain    = time.Second            // the list is asked for again this long after a failure
 	hotEvery    = 250 * time.Millisecond // how often the hot set is looked at
 	sweepEvery  = 10 * time.Millisecond  // how often waiting requests and silent workers are looked at
 	skipOver    = 1.5                    // a worker is passed over above this multiple of the mean load ...
 	skipSlack   = 1.5                    // ... plus this many requests
+	slowOver    = 2.0                    // ... or while its answers take this multiple of what they should ...
+	slowPrior   = 1.5                    // ... where this many usual answers speak for it ...
+	slowSpan    = 3 * time.Second        // ... and its own are forgotten with this time constant
 	smooth      = 0.1                    // weight of a new sample in every running mean
 	silentAfter = 10.0                   // a worker is silent after this many mean answer times
+	darkAfter   = 5.0                    // a zone is, whose workers together owe answers for this many ...
+	darkEach    = 2.0                    // ... of which one attempt counts for so many: any may be long
 	trialMost   = 8 * time.Second        // longest time between two trials of a silent worker
 	retryShare  = 0.2                    // second copies and repeats, as a part of the requests taken
 	retryBurst  = 20.0                   // ... and as many at once
-	badOver     = 0.2                    // a worker failing this much more of a class than the fleet gets none
+	badOver     = 0.3                    // a worker that fails this much more of a class than the fleet is bad
+	badLeast    = 0.01                   // ... which is taken to fail this part at the least
+	badOther    = 0.5                    // a failure says this much of the other classes ...
+	badRecent   = time.Second            // ... unless the worker has answered them in this time
+	badBreak    = 0.2                    // a connection that breaks says this much: any peer may cut it
+	badUnsafe   = 0.5                    // calls that may not be repeated go elsewhere at this part of the limit
 	turnedMost  = 4                      // so many calls of a class turned away in a row shut a worker to it ...
 	turnedRest  = 250 * time.Millisecond // ... for this long, and twice as long each time
 	strangeMost = 3                      // so many errors before any answer: nobody knows the function ...
@@ -72,8 +80,6 @@
 		b.close(b.requests[e.ID], false)
 	case LoadedEvent:
 		b.onLoaded(e)
-	case ProbedEvent:
-		b.onProbed(e)
 	case WakeEvent:
 		if e.Ref == b.wakeRef {
 			b.wakeAt = 0
@@ -113,7 +119,7 @@
 		w := b.workers[l.ID]
 		if w == nil {
 			w = &worker{hash: hash(string(l.ID)), bad: map[string]float64{}, turned: map[string]int{},
-				shut: map[string]time.Duration{}, window: b.firstWindow(), ratio: 1}
+				shut: map[string]time.Duration{}, good: map[string]time.Duration{}, window: b.firstWindow(), ratio: 1}
 			b.workers[l.ID] = w
 		}
 		if l.Weight <= 0 {
@@ -142,7 +148,8 @@
 // restarted notes a fresh start: the worker is cold and holds nothing.
 func (b *Balancer) restarted(w *worker, at time.Duration) {
 	w.cold, w.isCold, w.coldSends = at, true, nil
-	w.suspect, w.mute, w.ratio, w.late, w.window = false, false, 1, 0, b.firstWindow()
+	w.suspect, w.ratio, w.late, w.window = false, 1, 0, b.firstWindow()
+	w.took, w.usual = decayed{}, decayed{}
 	clear(w.turned)
 	clear(w.shut)
 	for _, f := range b.functions {
@@ -154,14 +161,7 @@
 
 // load is the requests at a worker, by this dispatcher's knowledge, for its present capacity.
 func (b *Balancer) load(w *worker) float64 {
-	if b.thin() && w.heldAt > 0 {
-		return w.held / w.size / b.warm(w)
-	}
-	n := float64(len(w.out)) * float64(b.set.Peers)
-	if w.heldAt > 0 && b.now-w.heldAt < reportFor {
-		n = float64(len(w.out)) + w.others
-	}
-	return n / b.capacity(w)
+	return float64(len(w.out)) * float64(b.set.Peers) / b.capacity(w)
 }
 
 func (b *Balancer) capacity(w *worker) float64 {
@@ -199,7 +199,7 @@
 			b.warmSize += w.size
 		}
 		for c := range w.bad {
-			w.bad[c] *= 1 - smooth/2 // a second chance comes by itself, and soon
+			w.bad[c] *= 1 - smooth/4 // a second chance comes by itself
 		}
 	}
 	for id, w := range b.workers { // one that comes back by now would be warm, or have a new start
@@ -348,7 +348,8 @@
 	took, usual := e.Took.Seconds(), f.loadTime
 	slow := (e.Status != Failed || b.erred(f)) && (e.Status != OK || took > loadSlow*usual)
 	if e.Status == OK {
-		w.heard, f.known = b.now, true
+		b.heard(w)
+		f.known = true
 		p.missed, p.until, p.absent = false, b.now+b.trust(), 0
 		b.window += 1 / b.window
 		if took > usual*smooth { // less: it stood already
@@ -357,7 +358,7 @@
 	} else if p.avoid = b.now + sec(usual); e.Status == Reset {
 		b.broken(w)
 	} else if e.Status == ConnectFailed {
-		b.suspect(w, true)
+		b.suspect(w)
 	}
 	if slow && b.now-b.shrunk > sec(usual/2) {
 		b.shrunk, b.window = b.now, math.Max(loadLeast, b.window*loadCut)
@@ -369,7 +370,7 @@
 func (b *Balancer) resume(waits func(*request) bool) {
 	for _, r := range slices.Clone(b.open) {
 		if waits(r) {
-			r.wait, r.ask = nil, nil
+			r.wait = nil
 			b.place(r)
 		}
 	}
@@ -388,7 +389,7 @@
 				next = nil
 				break
 			}
-			if next == nil && !b.stands(p) && b.ordersFirst(p) && !p.w.suspect && b.now >= p.avoid &&
+			if next == nil && !b.stands(p) && b.ordersFirst(p) && !b.silent(p.w) && b.now >= p.avoid &&
 				p.w.turned[f.class] < turnedMost {
 				next = p
 			}
@@ -460,12 +461,6 @@
 		return
 	}
 	if w, ready := b.pick(r, false); ready {
-		if b.unsure(w) && r.asked < mostAsked {
-			b.probe(w)
-			r.ask, r.asked = w, r.asked+1
-			r.waitUntil = b.now + min(sweepEvery+sec(4*b.probeTook), r.class.Aim/8)
-			return
-		}
 		b.send(r, w)
 	} else if w != nil { // else held: the sweep tries again
 		if p := r.f.where(w); b.order(r.f, p, 1, 2*b.window) || p.ordered {
@@ -477,48 +472,6 @@
 	}
 }
 
-// unsure tells that a worker is asked after before it gets a request: own calls are few, its last word old.
-func (b *Balancer) unsure(w *worker) bool {
-	return b.set.Probes && b.thin() && b.now-w.heldAt > freshFor && // without reports any word counts
-		(b.set.Reports != ReportOff || b.now-w.heard > freshFor)
-}
-
-func (b *Balancer) probe(w *worker) {
-	if !w.asking && w.State == Ready {
-		if w.asking = true; w.suspect {
-			b.trial(w)
-		}
-		b.do(Probe{Worker: w.ID})
-	}
-}
-
-// note takes in what a worker reports. Reports far above the mean count as just above it.
-func (b *Balancer) note(w *worker, r *Report) {
-	if r == nil || r.Held < 0 && r.Queue < 0 {
-		return
-	}
-	w.held, w.heldAt = math.Max(r.Held, r.Queue), b.now
-	w.others += (math.Max(0, r.Held-float64(len(w.out))) - w.others) / 2
-	b.held += (math.Min(w.held/w.size, b.held+skipSlack/w.size) - b.held) * smooth
-}
-
-func (b *Balancer) onProbed(e ProbedEvent) {
-	w := b.workers[e.Worker]
-	if w == nil || !w.asking {
-		return
-	}
-	w.asking = false
-	if b.note(w, e.Report); e.Status != OK {
-		b.suspect(w, false)
-	} else {
-		b.probeTook += (e.Took.Seconds() - b.probeTook) * smooth
-		if !w.mute {
-			w.suspect, w.backoff = false, 0
-		}
-	}
-	b.resume(func(r *request) bool { return r.ask == w })
-}
-
 // over tells that no new attempt could end in time.
 func (b *Balancer) over(r *request) bool { return b.now+2*sweepEvery >= r.deadline }
 
@@ -539,29 +492,23 @@
 		if seen++; b.thin() && seen > f.size+r.widened+1 {
 			break
 		}
-		if b.fresh(w) && b.now < r.aim && b.now+sec(b.late(f, w)) > r.aim {
-			held = true // it would come too late there
-			continue
-		}
-		p, skip := f.where(w), b.skip(f, w, r.class.Aim.Seconds())
+		p, skip := f.where(w), b.skip(w)
 		shun := b.now < p.shun && b.thin()
 		if ready := b.stands(p) || !b.ordersFirst(p) && !b.lastTry(r) ||
 			i < f.size+r.widened && used && !w.isCold && b.now >= p.absent; !ready {
 			if empty == nil && !skip && b.now >= p.avoid && (seen <= f.size+1 || !b.thin()) {
 				empty = w
 			}
-		} else if r.asked >= mostAsked && b.unsure(w) {
-			held = true // nobody vouches for it
 		} else if !skip && !shun {
 			best = w
 			break
 		} else if held = held || !shun; b.now >= w.fullUntil && float64(len(w.out)) < w.window &&
-			(crowded == nil || b.load(w) < b.load(crowded)) {
+			(crowded == nil || (1+b.load(w))*b.slow(w) < (1+b.load(crowded))*b.slow(crowded)) {
 			crowded = w
 		}
 	}
 	if b.thin() && best == nil && !standing {
-		if held && r.widened < mostAsked && f.size+r.widened < len(b.list) {
+		if held && r.widened < mostWidened && f.size+r.widened < len(b.list) {
 			r.widened += max(1, f.size/4)
 			return b.pick(r, standing)
 		}
@@ -579,33 +526,40 @@
 	return best, best != nil
 }
 
-// fresh tells that a worker's queue is known well enough to judge it by, where own calls are few.
-func (b *Balancer) fresh(w *worker) bool {
-	return b.thin() && w.heldAt > 0 && b.now-w.heldAt <= freshFor
-}
-
-// late is how long an answer will take by what the worker holds, in seconds.
-func (b *Balancer) late(f *function, w *worker) float64 {
-	return cmp.Or(f.base, b.base) * (b.load(w) + 1)
+// skip tells that a worker is passed over for now: it answered full, or holds many requests for its size.
+func (b *Balancer) skip(w *worker) bool {
+	return b.now < w.fullUntil || float64(len(w.out)) >= w.window || b.slow(w) > slowOver ||
+		b.load(w) > skipOver*b.mean+skipSlack*float64(b.set.Peers)/b.capacity(w)
 }
 
-// skip tells that a worker is passed over for now: it answered full, or holds many requests for its size.
-func (b *Balancer) skip(f *function, w *worker, aim float64) bool {
-	if b.fresh(w) {
-		return b.now < w.fullUntil || b.load(w) > b.held+skipSlack/b.capacity(w) &&
-			(f.size > 1 || b.late(f, w) > lateTarget*aim)
+// slow is how long a worker's answers take against what they should, by the work of the calls: a home answers
+// its own functions only, so that their usual times say nothing. Attempts still out count once overdue.
+func (b *Balancer) slow(w *worker) float64 {
+	took, usual := slowPrior*b.answer, slowPrior*b.answer
+	took += w.took.add(b.now, 0, slowSpan)
+	usual += w.usual.add(b.now, 0, slowSpan)
+	for _, a := range w.out {
+		if age := (b.now - a.at).Seconds(); age > a.usual {
+			took, usual = took+age, usual+a.usual
+		}
 	}
-	return b.now < w.fullUntil || float64(len(w.out)) >= w.window ||
-		b.load(w) > skipOver*b.mean+skipSlack*float64(b.set.Peers)/b.capacity(w)
+	if b.answer == 0 { // nothing to compare with yet
+		return 1
+	}
+	return took / usual
 }
 
 // sound leaves out who fails more of the class than the fleet or turns all of it away. A suspect gets one
 // safe request as its trial.
 func (b *Balancer) sound(r *request, w *worker) bool {
 	class := r.class.Name
-	return !r.avoid[w.ID] && b.now >= w.shut[class] && w.bad[class] <= badOver+b.bad[class] &&
-		(!w.suspect || b.panicky || r.class.Effect == Safe && b.now >= w.trialAt && len(w.out) == 0 &&
-			len(r.attempts)+1 < b.set.MaxAttempts)
+	limit := b.badLimit()
+	if r.class.Effect == Unsafe {
+		limit *= badUnsafe
+	}
+	return !r.avoid[w.ID] && b.now >= w.shut[class] && w.bad[class] <= limit &&
+		(!b.silent(w) || b.panicky || r.class.Effect == Safe && b.now >= max(w.trialAt, b.zone(w).trialAt) &&
+			len(w.out) == 0 && len(r.attempts)+1 < b.set.MaxAttempts)
 }
 
 // mayGo holds the rules on what may be sent where: drains, repeats, cold workers, attempts and time.
@@ -658,17 +612,17 @@
 	if r.class.Effect != Unsafe && !b.set.SecondCopies && !b.set.Cancel {
 		limit = (r.deadline - b.now) / 2
 	}
-	a := &attempt{n: len(r.attempts), w: w, at: b.now, pending: true}
-	if b.fresh(w) {
-		a.load = b.load(w) + 1
+	a := &attempt{n: len(r.attempts), w: w, at: b.now, pending: true, usual: b.answer}
+	if work := r.Work.Seconds(); work > 0 {
+		a.usual *= (1 + work/b.work) / 2
 	}
-	if w.suspect {
+	if b.silent(w) {
 		b.trial(w)
 	}
 	if w.turned[r.class.Name] >= turnedMost {
 		b.shutFor(w, r.class.Name)
 	}
-	r.attempts, r.wait, r.asked = append(r.attempts, a), nil, 0
+	r.attempts, r.wait = append(r.attempts, a), nil
 	r.out++
 	w.out = append(w.out, a)
 	if b.warm(w) < 1 {
@@ -732,14 +686,21 @@
 	r.out--
 	p.inflight--
 	w.out = without(w.out, a)
-	b.note(w, e.Report)
-	bad, class := 0.0, r.class.Name
-	if e.Status == TimedOut || e.Status == Failed || e.Status == Reset {
-		bad = 1
+	class := r.class.Name
+	took := e.Took.Seconds()
+	if e.Status == OK || took > a.usual && (e.Status == TimedOut || e.Status == Cancelled) {
+		w.took.add(b.now, took, slowSpan)
+		w.usual.add(b.now, a.usual, slowSpan)
 	}
-	if (e.Status != Reset || b.broken(w)) && (e.Status != Failed || b.erred(r.f)) {
-		w.bad[class] += (bad - w.bad[class]) * smooth
-		b.bad[class] += (bad - b.bad[class]) * smooth / 10
+	if e.Status == Failed && !b.erred(r.f) {
+		r.f.doubts = append(r.f.doubts, w) // its own fault, if another answers
+	} else if e.Status != Reset || b.broken(w) {
+		b.judge(w, class, map[Status]float64{Failed: 1, TimedOut: 1, Reset: badBreak}[e.Status])
+	}
+	if e.Status == Failed { // quick or not, it is there
+		b.heard(w)
+	} else if z := b.zone(w); e.Status == ConnectFailed || e.Status == TimedOut {
+		z.lost += b.owed(z, e.Took)
 	}
 	a.unseen = e.Status == ConnectFailed || e.Status == Moot
 	a.maybe = !a.unseen && e.Status != Full && e.Status != Miss
@@ -769,10 +730,10 @@
 			b.order(r.f, p, 1, b.window)
 		}
 	case ConnectFailed:
-		b.suspect(w, true)
+		b.suspect(w)
 	case TimedOut, Cancelled: // a client that soon takes its request back says nothing of the worker
 		if b.now-w.heard > e.Took && e.Took >= sec(silentAfter*b.answer) {
-			b.doubt(w)
+			b.suspect(w)
 		}
 	}
 	if r.called = false; e.Closed || r.closed {
@@ -796,6 +757,27 @@
 	}
 }
 
+// judge takes the end of an attempt into the test of its worker: Page's cumulated sum of log likelihood
+// ratios, of a worker that fails badOver more of the class than the fleet against one that fails as much.
+func (b *Balancer) judge(w *worker, class string, bad float64) {
+	usual, limit := math.Max(b.bad[class], badLeast), b.badLimit()
+	high := math.Min(usual+badOver, 1-badLeast)
+	for c := range b.classes {
+		if c != class && bad > 0 && (w.good[c] == 0 || b.now-w.good[c] > badRecent) { // else it takes that one
+			w.bad[c] = math.Min(w.bad[c], limit) + badOther*bad*math.Log(high/usual)
+		}
+	}
+	if w.bad[class] <= limit { // the fleet's own rate is that of the others
+		b.bad[class] += (bad - b.bad[class]) * smooth / 10
+	}
+	w.bad[class] = math.Max(0, math.Min(w.bad[class], limit)+bad*math.Log(high/usual)+
+		(1-bad)*math.Log((1-high)/(1-usual)))
+}
+
+// badLimit is the sum above which a worker counts as bad: with more calls to judge by, chance alone brings
+// more failures in a row, and one failure in few calls must do.
+func (b *Balancer) badLimit() float64 { return 1.5 + math.Log(1+b.share) }
+
 // shutFor keeps a class off a worker that turns it away, till the next trial of one request.
 func (b *Balancer) shutFor(w *worker, class string) {
 	w.shut[class] = b.now + min(turnedRest<<min(w.turned[class]-turnedMost, 5), trialMost/4)
@@ -805,6 +787,19 @@
 func (b *Balancer) trial(w *worker) {
 	w.backoff = min(2*w.backoff, trialMost)
 	w.trialAt = b.now + w.backoff
+	if z := b.zone(w); z.dark {
+		z.backoff = min(2*z.backoff, trialMost)
+		z.trialAt = b.now + z.backoff
+	}
+}
+
+// silent tells that a worker is out of turn: it is suspect, or all of its zone keep silent.
+func (b *Balancer) silent(w *worker) bool { return w.suspect || b.zone(w).dark }
+
+// heard notes word from a worker. It tells of its zone as well: that one can be reached.
+func (b *Balancer) heard(w *worker) {
+	w.heard = b.now
+	*b.zone(w) = zone{heard: b.now}
 }
 
 // broken notes that a connection to a worker broke, and tells whether that is news: one break ends all that
@@ -815,26 +810,19 @@
 		return false
 	}
 	if w.broke > w.heard {
-		b.suspect(w, true)
+		b.suspect(w)
 	}
 	w.broke = b.now
 	return true
 }
 
-func (b *Balancer) alive(w *worker) { w.heard, w.suspect, w.mute, w.backoff = b.now, false, false, 0 }
-
-// doubt answers silence: where own calls are few, one slow call proves nothing, and the worker is asked.
-func (b *Balancer) doubt(w *worker) {
-	if !b.thin() || !b.set.Probes {
-		b.suspect(w, true)
-	} else if b.unsure(w) {
-		b.probe(w)
-	}
+func (b *Balancer) alive(w *worker) {
+	b.heard(w)
+	w.suspect, w.backoff = false, 0
 }
 
 // suspect takes a worker out of turn until it answers a trial.
-func (b *Balancer) suspect(w *worker, mute bool) {
-	w.mute = w.mute || mute
+func (b *Balancer) suspect(w *worker) {
 	if !w.suspect {
 		w.suspect = true
 		w.backoff = sec(silentAfter * b.answer)
@@ -845,15 +833,14 @@
 func (b *Balancer) answered(r *request, p *placed, e OutcomeEvent) {
 	w, f := p.w, r.f
 	b.alive(w)
-	w.turned[r.class.Name] /= 2
-	f.known = true
+	w.turned[r.class.Name], w.good[r.class.Name] = w.turned[r.class.Name]/2, b.now
+	for _, o := range f.doubts {
+		b.judge(o, f.class, 1)
+	}
+	f.known, f.doubts = true, nil
 	p.copies, p.missed, p.until, p.absent = max(p.copies, 1), false, b.now+b.trust(), 0
 	took := e.Took.Seconds()
 	f.answer, b.answer = cmp.Or(f.answer, took), cmp.Or(b.answer, took)
-	if load := r.attempts[e.Attempt].load; load > 0 {
-		f.base += (took/load - f.base) * firstOr(f.base, smooth)
-		b.base += (took/load - b.base) * firstOr(b.base, smooth/4)
-	}
 	w.ratio += (math.Min(took/math.Max(f.answer, 1e-6), 10) - w.ratio) * smooth
 	f.answer += (took - f.answer) * smooth
 	b.answer += (took - b.answer) * smooth / 4
@@ -887,14 +874,10 @@
 
 // sweep looks after silent workers, waiting requests, second copies and the hot set.
 func (b *Balancer) sweep() {
-	look := !b.thin() // else less often, for the CPU
 	if b.now-b.hotAt >= hotEvery {
 		b.updateHot()
-		look = true
-	}
-	if look {
-		b.lookAfter()
 	}
+	b.lookAfter()
 	waiting := []*request{}
 	for _, r := range slices.Clone(b.open) {
 		switch {
@@ -904,16 +887,9 @@
 			b.end(r)
 		case b.now+sweepEvery > r.half() && !r.written():
 			b.decide(r)
-		case r.ask != nil && b.now < r.waitUntil:
 		case r.wait == nil:
-			if r.ask != nil { // no word: most likely it is slow or gone
-				r.ask.fullUntil, r.ask = b.now+freshFor, nil
-			}
 			waiting = append(waiting, r)
-		case r.wait.ordered && b.now > r.waitUntil && b.thin() && b.set.Probes && !r.wait.w.suspect:
-			b.doubt(r.wait.w) // a slow load elsewhere would be no quicker
-			r.waitUntil = b.now + sec(r.f.loadTime)
-		case !r.wait.ordered || b.now > r.waitUntil || r.wait.w.State != Ready || r.wait.w.suspect:
+		case !r.wait.ordered || b.now > r.waitUntil || r.wait.w.State != Ready || b.silent(r.wait.w):
 			r.avoid[r.wait.w.ID], r.wait = true, nil
 			waiting = append(waiting, r)
 		}
@@ -927,7 +903,7 @@
 			continue
 		}
 		b.place(r)
-		b.short = b.short || !r.closed && r.out == 0 && r.wait == nil && r.ask == nil
+		b.short = b.short || !r.closed && r.out == 0 && r.wait == nil
 	}
 	b.ordersAhead()
 }
@@ -946,18 +922,35 @@
 func (b *Balancer) lookAfter() {
 	silent, suspects := sec(silentAfter*b.answer), 0
 	b.mean = 0
+	for _, z := range b.zones {
+		z.owed = z.lost
+	}
 	for _, w := range b.list {
+		z := b.zone(w)
 		b.mean += b.load(w) / float64(len(b.list))
-		if len(w.out) > 0 && b.answer > 0 && b.now-max(w.out[0].at, w.heard) > silent {
-			b.doubt(w)
+		if len(w.out) > 0 && b.answer > 0 {
+			if b.now-max(w.out[0].at, w.heard) > silent {
+				b.suspect(w)
+			}
+			z.owed += b.owed(z, b.now-w.out[0].at)
 		}
-		if w.suspect {
+		// A zone is lost as a whole: few calls to many workers would find out each of them alone, and late.
+		if !z.dark && b.answer > 0 && z.owed > sec(darkAfter*b.answer) {
+			z.dark, z.backoff = true, silent
+			z.trialAt = b.now + silent
+		}
+		if b.silent(w) {
 			suspects++
 		}
 	}
 	b.panicky = float64(suspects) > panicShare*float64(len(b.list))
 }
 
+// owed is how far an attempt without word for so long tells that its zone is dark.
+func (b *Balancer) owed(z *zone, wait time.Duration) time.Duration {
+	return max(0, min(wait, b.now-z.heard, sec(darkEach*b.answer)))
+}
+
 // value is what an answer would earn for each second of work, if sent now.
 func (b *Balancer) value(r *request) float64 {
 	if b.set.WorthByWork {
@@ -970,7 +963,7 @@
 func (b *Balancer) second(r *request) {
 	a := r.attempts[len(r.attempts)-1]
 	if r.started || r.called || r.out != 1 || r.class.Effect == Unsafe || b.tokens < 1 || !a.pending ||
-		!a.w.suspect || len(r.attempts) >= b.set.MaxAttempts || b.over(r) || (b.now-a.at).Seconds() < r.f.answer {
+		!b.silent(a.w) || len(r.attempts) >= b.set.MaxAttempts || b.over(r) || (b.now-a.at).Seconds() < r.f.answer {
 		return
 	}
 	r.avoid[a.w.ID] = true
--- a/rules/state.go
+++ b/rules/state.go
@@ -25,16 +25,23 @@
 	broke            time.Duration            // when a connection to it last broke
 	window           float64                  // own requests in flight allowed
 	ratio            float64                  // answer time against the fleet's for the same functions
-	bad              map[string]float64       // part of its attempts that fail, by class
+	good             map[string]time.Duration // its last answer, by class
+	bad              map[string]float64       // evidence that it fails more than others, by class
 	turned           map[string]int           // calls turned away since the last answer, by class
 	shut             map[string]time.Duration // no call of the class before this
 	late             float64                  // answer time against the aim
+	took, usual      decayed                  // seconds of its answers, and what they should have been
 	fullUntil        time.Duration
 	trialAt, backoff time.Duration
-	held, others     float64 // requests it holds or has queued, as reported at heldAt; ... those of others
-	heldAt           time.Duration
-	asking           bool // a probe is out
-	mute             bool // suspect since its answers fail to come: a good probe does not clear it
+}
+
+// zone is what is known of all workers of one zone together.
+type zone struct {
+	heard            time.Duration // last word of any of them
+	lost             time.Duration // waited since then for attempts that have ended without word
+	owed             time.Duration // ... and with those that are still out
+	dark             bool
+	trialAt, backoff time.Duration // while it is dark
 }
 
 // placed is what is believed of one function at one worker.
@@ -56,7 +63,6 @@
 	lanes        int
 	loadTime     float64 // usual time of a load, seconds
 	answer       float64 // mean answer time, seconds
-	base         float64 // ... for each request held at the worker, this one included
 	count        decayed
 	need         float64 // even shares of workers that it needs, by the crowds that its calls met
 	hot          bool
@@ -65,6 +71,7 @@
 	known        bool // a call was answered, or a load came to its end
 	errors       int  // before that
 	errorAt      time.Duration
+	doubts       []*worker // that met them
 	home         []*worker // rendezvous order, as of epoch
 	epoch, users int       // users: open requests and pending orders
 	at           map[WorkerID]*placed
@@ -76,7 +83,7 @@
 	at             time.Duration
 	pending, maybe bool    // maybe: it has ended and may have run
 	unseen         bool    // it has ended, and was never written whole
-	load           float64 // of its worker as last reported, plus one; 0: not known
+	usual          float64 // seconds that its answer should take
 }
 
 type request struct {
@@ -90,9 +97,8 @@
 	closed, started bool
 	called          bool    // its attempt was called off to make room for another
 	wait            *placed // the order it waits on, till waitUntil
-	ask             *worker // the probe it waits on, till waitUntil
 	turn            int     // of its function's group
-	asked, widened  int
+	widened         int
 	waitUntil       time.Duration
 	avoid           map[WorkerID]bool
 }
@@ -119,14 +125,13 @@
 	allowed        map[string]float64  // calls a second within a tenant's share
 	shares         map[string]*decayed // calls of each tenant
 	workers        map[WorkerID]*worker
+	zones          map[string]*zone
 	list           []*worker // usable, sorted by id
 	epoch          int
 	functions      map[FunctionID]*function
 	hot            []*function
 	hotAt          time.Duration
-	held           float64 // mean of the requests held, for each unit of size
 	work           float64 // mean work of a request as told, seconds
-	probeTook      float64 // mean time of a probe, seconds
 	mean           float64 // mean load
 	warmSize       float64 // size of all warm workers
 	share          float64 // own calls counted, for each worker
@@ -141,7 +146,7 @@
 	orders, taken  []time.Duration // rationed orders, and the requests that earn them
 	tokens         float64
 	bad            map[string]float64 // part of all attempts that fail, by class
-	answer, base   float64            // mean answer time of the fleet, seconds, and for each request held
+	answer         float64            // mean answer time of the fleet, seconds
 	answers        decayed
 	askAt          time.Duration
 	asked, panicky bool
@@ -210,7 +215,7 @@
 	s.MaxAttempts, s.Peers = max(1, s.MaxAttempts), max(1, s.Peers)
 	b := &Balancer{set: s, rng: seed, bad: map[string]float64{}, classes: map[string]*Class{},
 		allowed: map[string]float64{}, shares: map[string]*decayed{}, longest: map[string]time.Duration{},
-		workers: map[WorkerID]*worker{}, functions: map[FunctionID]*function{},
+		workers: map[WorkerID]*worker{}, zones: map[string]*zone{}, functions: map[FunctionID]*function{},
 		requests: map[RequestID]*request{}, window: loadStart, tokens: retryBurst}
 	least := min(s.Step, s.AnswerSlack, s.DrainGrace, s.ColdRamp, s.FallSpan, s.Keep, s.OrderTimeout,
 		s.LoadWindow, s.AskWithin, s.MaxRetryAfter, s.DialTimeout)
@@ -236,6 +241,15 @@
 	return p
 }
 
+func (b *Balancer) zone(w *worker) *zone {
+	z := b.zones[w.Zone]
+	if z == nil {
+		z = &zone{}
+		b.zones[w.Zone] = z
+	}
+	return z
+}
+
 // left notes the moment at which a worker is removed.
 func (b *Balancer) left(w *worker, s WorkerState) {
 	if s == Removed && w.State != Removed {
