--- a/cmd/kitefall/serve.go
+++ b/cmd/kitefall/serve.go
@@ -62,7 +62,8 @@
 	core, err := dispatch.New(dispatch.Config{Settings: conf.Settings, Seed: conf.Seed, MostOpen: conf.MostOpen(),
 		MostHeld: conf.MostHeld(), Links: worker.Config{DialTimeout: conf.Settings.DialTimeout,
 			IdleClose: conf.Connections.IdleClose, DrainGrace: conf.Settings.DrainGrace,
-			Streams: conf.Connections.Streams, Connections: one, Room: worker.NewRoom(all)}})
+			Streams: conf.Connections.Streams, Connections: one, Room: worker.NewRoom(all),
+			Wear: worker.NewWear(conf.Connections.Handshake)}})
 	if err != nil {
 		return err
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -193,6 +193,9 @@
 // Raw writes bytes as they are.
 func (c *Call) Raw(p []byte) { c.conn.Write(p) }
 
+// From is the address that the call came from: one for each connection.
+func (c *Call) From() string { return c.conn.RemoteAddr().String() }
+
 // Die resets the connection, as the kernel does for a process that dies.
 func (c *Call) Die() {
 	c.conn.(*net.TCPConn).SetLinger(0)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -303,6 +303,7 @@
 type Connections struct {
 	IdleClose time.Duration // workers close idle connections after this
 	Streams   int           // calls on one connection
+	Handshake float64       // price of a new connection, in parts of the worth of a call; 0: none
 }
 
 // ReadConnections reads them from the settings of an instance.
@@ -312,9 +313,12 @@
 			IdleClose int64 `json:"idle_close_us"`
 			Streams   int   `json:"max_streams"`
 		} `json:"caps"`
+		Prices struct {
+			Handshake float64 `json:"handshake"`
+		} `json:"prices"`
 	}
 	err := json.Unmarshal(data, &p)
-	return Connections{IdleClose: us(p.Caps.IdleClose), Streams: p.Caps.Streams}, err
+	return Connections{IdleClose: us(p.Caps.IdleClose), Streams: p.Caps.Streams, Handshake: p.Prices.Handshake}, err
 }
 
 // Encoder collects the actions that answer one batch.
--- a/internal/worker/link.go
+++ b/internal/worker/link.go
@@ -29,6 +29,7 @@
 	Streams     int           // calls on one connection
 	Connections int           // to one worker at most
 	Room        *Room         // for connections to all workers
+	Wear        *Wear         // of connections to all workers
 }
 
 // Room is how many connections all links together may have. The first one of each link is always allowed: without
@@ -169,8 +170,8 @@
 	return j, nil
 }
 
-// pick finds a connection for a job: an idle one, else a new one, else that with the fewest open. Peers may cut a
-// connection or spoil an answer at any time, and whatever is open there then fails with it.
+// pick finds a connection for a job: an idle one, else a new one where that is worth its price, else that with the
+// fewest open. Peers may cut a connection or spoil an answer at any time, and whatever is open there then fails with it.
 func (l *Link) pick(j *Job) *conn {
 	var best *conn
 	for _, c := range l.conns {
@@ -180,7 +181,7 @@
 			best = c
 		}
 	}
-	if best != nil && len(best.open) == 0 || len(l.conns) >= l.config.Connections {
+	if best != nil && (len(best.open) == 0 || !l.config.Wear.apart()) || len(l.conns) >= l.config.Connections {
 		return best
 	}
 	if l.config.Room.left.Add(-1) < 0 && len(l.conns) > 0 {
@@ -190,6 +191,7 @@
 	c := &conn{link: l, out: make(chan *Job, 4*l.config.Streams), closed: make(chan struct{}),
 		open: map[uint64]*Job{}, spent: map[uint64]time.Time{}, since: time.Now()}
 	l.conns = append(l.conns, c)
+	l.config.Wear.count(1, 0)
 	go c.run(time.Now().Add(l.config.DialTimeout))
 	return c
 }
@@ -415,6 +417,9 @@
 		ended.Log(slog.LevelWarn, "worker: connection ended", "worker", l.uid, "err", err)
 	}
 	up := c.net != nil && !l.gone
+	if up && !c.shut && len(c.open) > 0 { // not by this side
+		l.config.Wear.count(0, 1)
+	}
 	c.shutdown()
 	open := c.open
 	c.open = map[uint64]*Job{}
--- a/internal/worker/link_test.go
+++ b/internal/worker/link_test.go
@@ -67,6 +67,28 @@
 	assert.Equal(t, "in time", string((<-ended).Body))
 }
 
+// Guards against second connections that nobody needs: where a handshake has its price, and connections do not break,
+// calls and orders share one. Once one has broken under load, what is open at a time goes apart again.
+func TestJobsShareAConnectionUntilConnectionsBreak(t *testing.T) {
+	w := standin.NewWorker(t)
+	c := standin.Links()
+	c.Wear = worker.NewWear(0.08)
+	l := worker.NewLink("s-1", w.Addr, &c)
+	t.Cleanup(l.Close)
+	both := func() (*standin.Call, *standin.Call, chan worker.Result, chan worker.Result) {
+		_, one := call(t, l, 1, standin.By())
+		_, two := call(t, l, 2, standin.By())
+		return w.Next(), w.Next(), one, two
+	}
+	a, b, one, two := both()
+	require.Equal(t, a.From(), b.From(), "a connection of its own, though none ever broke")
+	a.Die()
+	assert.Equal(t, rules.Reset, (<-one).Status)
+	assert.Equal(t, rules.Reset, (<-two).Status)
+	a, b, _, _ = both()
+	assert.NotEqual(t, a.From(), b.From(), "shared, though connections break")
+}
+
 // Giving up what has been answered must not end a later call that bears the same id.
 func TestGivingUpAnAnsweredCallLeavesALaterOneOpen(t *testing.T) {
 	w := standin.NewWorker(t)
