Judge workers in a file of their own, and look a worker's zone up once

Need: rules.go had 979 lines and was two things: what becomes of calls, and what is believed of workers and zones.

--- a/rules/api.go
+++ b/rules/api.go
@@ -3,7 +3,7 @@
 //
 // A [Balancer] is fed events in time order and returns the actions to carry out. It has no clock, does no I/O
 // and starts no goroutines: equal settings, seed and events give equal actions. It is not safe for
-// concurrent use. All decisions are in rules.go; this file only names what goes in and out.
+// concurrent use. All decisions are in rules.go and health.go; this file only names what goes in and out.
 package rules
 
 import "time"
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,6 +1,7 @@
 package rules
 
-// Types are in api.go (settings, events, actions) and state.go (what is kept); all that decides is here.
+// Types are in api.go (settings, events, actions) and state.go (what is kept). What decides is here, and in
+// health.go as far as it judges workers.
 
 import (
 	"cmp"
@@ -27,25 +28,10 @@
 	hotEvery    = 250 * time.Millisecond // how often the hot set is looked at
 	sweepEvery  = 10 * time.Millisecond  // how often waiting requests and silent workers are looked at
 	skipOver    = 1.5                    // a worker is passed over above this multiple of the mean load ...
-	skipSlack   = 1.5                    // ... plus this many requests
-	slowOver    = 2.0                    // ... or while its answers take this multiple of what they should ...
-	slowPrior   = 1.5                    // ... where this many usual answers speak for it ...
-	slowSpan    = 3 * time.Second        // ... and its own are forgotten with this time constant
+	skipSlack   = 1.5                    // ... plus this many requests, or while it is slow
 	smooth      = 0.1                    // weight of a new sample in every running mean
-	silentAfter = 10.0                   // a worker is silent after this many mean answer times
-	darkAfter   = 5.0                    // a zone is, whose workers together owe answers for this many ...
-	darkEach    = 2.0                    // ... of which one attempt counts for so many: any may be long
-	trialMost   = 8 * time.Second        // longest time between two trials of a silent worker
 	retryShare  = 0.2                    // second copies and repeats, as a part of the requests taken
 	retryBurst  = 20.0                   // ... and as many at once
-	badOver     = 0.3                    // a worker that fails this much more of a class than the fleet is bad
-	badLeast    = 0.01                   // ... which is taken to fail this part at the least
-	badOther    = 0.5                    // a failure says this much of the other classes ...
-	badRecent   = time.Second            // ... unless the worker has answered them in this time
-	badBreak    = 0.2                    // a connection that breaks says this much: any peer may cut it
-	badUnsafe   = 0.5                    // calls that may not be repeated go elsewhere at this part of the limit
-	turnedMost  = 4                      // so many calls of a class turned away in a row shut a worker to it ...
-	turnedRest  = 250 * time.Millisecond // ... for this long, and twice as long each time
 	strangeMost = 3                      // so many errors before any answer: nobody knows the function ...
 	strangeRest = 5 * time.Second        // ... and it is not tried again for this long
 	keepTrust   = 0.6                    // a copy is believed to stand for this part of its idle time
@@ -56,7 +42,6 @@
 	loadLeast   = 2.0                    // ... and this many at the least
 	coldMargin  = 3.0                    // standard deviations of chance kept clear of the cold budget
 	windowStart = 12.0                   // in flight to a worker from all dispatchers at first; half at least
-	panicShare  = 0.5                    // when more of the fleet is suspect than this, suspicion is ignored
 	lateTarget  = 0.3                    // a window shrinks when answers take more of the aim than this
 )
 
@@ -130,7 +115,7 @@
 		}
 		fresh := l.Started > w.Started
 		b.left(w, l.State)
-		w.Worker = l
+		w.Worker, w.zone = l, b.zone(l.Zone)
 		if fresh {
 			b.restarted(w, l.Started)
 		}
@@ -480,7 +465,7 @@
 func (b *Balancer) pick(r *request, standing bool) (*worker, bool) {
 	f := r.f
 	var empty, crowded, best *worker
-	held, used, seen := false, b.used(f), 0
+	held, used, seen, least := false, b.used(f), 0, 0.0
 	for i := range b.list {
 		w := b.member(f, r.turn, i)
 		if w.isCold && b.set.Peers >= manyPeers && (f.size == 1 || i+len(r.attempts) > 0) { // beyond the lot
@@ -502,9 +487,10 @@
 		} else if !skip && !shun {
 			best = w
 			break
-		} else if held = held || !shun; b.now >= w.fullUntil && float64(len(w.out)) < w.window &&
-			(crowded == nil || (1+b.load(w))*b.slow(w) < (1+b.load(crowded))*b.slow(crowded)) {
-			crowded = w
+		} else if held = held || !shun; b.now >= w.fullUntil && float64(len(w.out)) < w.window {
+			if wait := (1 + b.load(w)) * b.slow(w); crowded == nil || wait < least {
+				crowded, least = w, wait
+			}
 		}
 	}
 	if b.thin() && best == nil && !standing {
@@ -532,23 +518,6 @@
 		b.load(w) > skipOver*b.mean+skipSlack*float64(b.set.Peers)/b.capacity(w)
 }
 
-// slow is how long a worker's answers take against what they should, by the work of the calls: a home answers
-// its own functions only, so that their usual times say nothing. Attempts still out count once overdue.
-func (b *Balancer) slow(w *worker) float64 {
-	took, usual := slowPrior*b.answer, slowPrior*b.answer
-	took += w.took.add(b.now, 0, slowSpan)
-	usual += w.usual.add(b.now, 0, slowSpan)
-	for _, a := range w.out {
-		if age := (b.now - a.at).Seconds(); age > a.usual {
-			took, usual = took+age, usual+a.usual
-		}
-	}
-	if b.answer == 0 { // nothing to compare with yet
-		return 1
-	}
-	return took / usual
-}
-
 // sound leaves out who fails more of the class than the fleet or turns all of it away. A suspect gets one
 // safe request as its trial.
 func (b *Balancer) sound(r *request, w *worker) bool {
@@ -558,7 +527,7 @@
 		limit *= badUnsafe
 	}
 	return !r.avoid[w.ID] && b.now >= w.shut[class] && w.bad[class] <= limit &&
-		(!b.silent(w) || b.panicky || r.class.Effect == Safe && b.now >= max(w.trialAt, b.zone(w).trialAt) &&
+		(!b.silent(w) || b.panicky || r.class.Effect == Safe && b.now >= max(w.trialAt, w.zone.trialAt) &&
 			len(w.out) == 0 && len(r.attempts)+1 < b.set.MaxAttempts)
 }
 
@@ -693,14 +662,14 @@
 		w.usual.add(b.now, a.usual, slowSpan)
 	}
 	if e.Status == Failed && !b.erred(r.f) {
-		r.f.doubts = append(r.f.doubts, w) // its own fault, if another answers
+		r.f.doubts = append(lastOf(r.f.doubts, strangeMost-1), w) // its own fault, if another answers
 	} else if e.Status != Reset || b.broken(w) {
 		b.judge(w, class, map[Status]float64{Failed: 1, TimedOut: 1, Reset: badBreak}[e.Status])
 	}
 	if e.Status == Failed { // quick or not, it is there
 		b.heard(w)
-	} else if z := b.zone(w); e.Status == ConnectFailed || e.Status == TimedOut {
-		z.lost += b.owed(z, e.Took)
+	} else if e.Status == ConnectFailed || e.Status == TimedOut {
+		w.zone.lost += b.owed(w.zone, e.Took)
 	}
 	a.unseen = e.Status == ConnectFailed || e.Status == Moot
 	a.maybe = !a.unseen && e.Status != Full && e.Status != Miss
@@ -757,79 +726,6 @@
 	}
 }
 
-// judge takes the end of an attempt into the test of its worker: Page's cumulated sum of log likelihood
-// ratios, of a worker that fails badOver more of the class than the fleet against one that fails as much.
-func (b *Balancer) judge(w *worker, class string, bad float64) {
-	usual, limit := math.Max(b.bad[class], badLeast), b.badLimit()
-	high := math.Min(usual+badOver, 1-badLeast)
-	for c := range b.classes {
-		if c != class && bad > 0 && (w.good[c] == 0 || b.now-w.good[c] > badRecent) { // else it takes that one
-			w.bad[c] = math.Min(w.bad[c], limit) + badOther*bad*math.Log(high/usual)
-		}
-	}
-	if w.bad[class] <= limit { // the fleet's own rate is that of the others
-		b.bad[class] += (bad - b.bad[class]) * smooth / 10
-	}
-	w.bad[class] = math.Max(0, math.Min(w.bad[class], limit)+bad*math.Log(high/usual)+
-		(1-bad)*math.Log((1-high)/(1-usual)))
-}
-
-// badLimit is the sum above which a worker counts as bad: with more calls to judge by, chance alone brings
-// more failures in a row, and one failure in few calls must do.
-func (b *Balancer) badLimit() float64 { return 1.5 + math.Log(1+b.share) }
-
-// shutFor keeps a class off a worker that turns it away, till the next trial of one request.
-func (b *Balancer) shutFor(w *worker, class string) {
-	w.shut[class] = b.now + min(turnedRest<<min(w.turned[class]-turnedMost, 5), trialMost/4)
-}
-
-// trial puts off the next trial of a suspect worker, twice as long each time.
-func (b *Balancer) trial(w *worker) {
-	w.backoff = min(2*w.backoff, trialMost)
-	w.trialAt = b.now + w.backoff
-	if z := b.zone(w); z.dark {
-		z.backoff = min(2*z.backoff, trialMost)
-		z.trialAt = b.now + z.backoff
-	}
-}
-
-// silent tells that a worker is out of turn: it is suspect, or all of its zone keep silent.
-func (b *Balancer) silent(w *worker) bool { return w.suspect || b.zone(w).dark }
-
-// heard notes word from a worker. It tells of its zone as well: that one can be reached.
-func (b *Balancer) heard(w *worker) {
-	w.heard = b.now
-	*b.zone(w) = zone{heard: b.now}
-}
-
-// broken notes that a connection to a worker broke, and tells whether that is news: one break ends all that
-// was open there. A break alone says little, any peer may spoil an answer or cut a connection. A process that
-// has died refuses the next one, and a worker is suspect that breaks again before it has answered.
-func (b *Balancer) broken(w *worker) bool {
-	if b.now-w.broke < sweepEvery && w.broke > 0 {
-		return false
-	}
-	if w.broke > w.heard {
-		b.suspect(w)
-	}
-	w.broke = b.now
-	return true
-}
-
-func (b *Balancer) alive(w *worker) {
-	b.heard(w)
-	w.suspect, w.backoff = false, 0
-}
-
-// suspect takes a worker out of turn until it answers a trial.
-func (b *Balancer) suspect(w *worker) {
-	if !w.suspect {
-		w.suspect = true
-		w.backoff = sec(silentAfter * b.answer)
-		w.trialAt = b.now + w.backoff
-	}
-}
-
 func (b *Balancer) answered(r *request, p *placed, e OutcomeEvent) {
 	w, f := p.w, r.f
 	b.alive(w)
@@ -918,39 +814,6 @@
 	}
 }
 
-// lookAfter takes stock of the workers: mean load, silence, and whether most are suspect.
-func (b *Balancer) lookAfter() {
-	silent, suspects := sec(silentAfter*b.answer), 0
-	b.mean = 0
-	for _, z := range b.zones {
-		z.owed = z.lost
-	}
-	for _, w := range b.list {
-		z := b.zone(w)
-		b.mean += b.load(w) / float64(len(b.list))
-		if len(w.out) > 0 && b.answer > 0 {
-			if b.now-max(w.out[0].at, w.heard) > silent {
-				b.suspect(w)
-			}
-			z.owed += b.owed(z, b.now-w.out[0].at)
-		}
-		// A zone is lost as a whole: few calls to many workers would find out each of them alone, and late.
-		if !z.dark && b.answer > 0 && z.owed > sec(darkAfter*b.answer) {
-			z.dark, z.backoff = true, silent
-			z.trialAt = b.now + silent
-		}
-		if b.silent(w) {
-			suspects++
-		}
-	}
-	b.panicky = float64(suspects) > panicShare*float64(len(b.list))
-}
-
-// owed is how far an attempt without word for so long tells that its zone is dark.
-func (b *Balancer) owed(z *zone, wait time.Duration) time.Duration {
-	return max(0, min(wait, b.now-z.heard, sec(darkEach*b.answer)))
-}
-
 // value is what an answer would earn for each second of work, if sent now.
 func (b *Balancer) value(r *request) float64 {
 	if b.set.WorthByWork {
--- a/rules/state.go
+++ b/rules/state.go
@@ -12,6 +12,7 @@
 
 type worker struct {
 	Worker
+	zone             *zone // that of its Zone
 	isCold, suspect  bool
 	size             float64       // weight, or the largest seen where weights are live
 	hash             uint64        // of its id
@@ -71,7 +72,7 @@
 	known        bool // a call was answered, or a load came to its end
 	errors       int  // before that
 	errorAt      time.Duration
-	doubts       []*worker // that met them
+	doubts       []*worker // that met the last of them
 	home         []*worker // rendezvous order, as of epoch
 	epoch, users int       // users: open requests and pending orders
 	at           map[WorkerID]*placed
@@ -241,15 +242,18 @@
 	return p
 }
 
-func (b *Balancer) zone(w *worker) *zone {
-	z := b.zones[w.Zone]
+func (b *Balancer) zone(name string) *zone {
+	z := b.zones[name]
 	if z == nil {
 		z = &zone{}
-		b.zones[w.Zone] = z
+		b.zones[name] = z
 	}
 	return z
 }
 
+// lastOf is the end of a list, so many at most.
+func lastOf[T any](list []T, most int) []T { return list[max(0, len(list)-most):] }
+
 // left notes the moment at which a worker is removed.
 func (b *Balancer) left(w *worker, s WorkerState) {
 	if s == Removed && w.State != Removed {
