--- a/rules/api.go
+++ b/rules/api.go
@@ -241,6 +241,7 @@
 	ID     RequestID
 	Worker WorkerID
 	Limit  time.Duration // time-out; 0: until the client gives up
+	Within time.Duration // it must begin within this, or not at all; 0: while its client waits
 }
 
 // Cancel stops waiting for an attempt.
--- a/rules/example_test.go
+++ b/rules/example_test.go
@@ -38,5 +38,5 @@
 		Took: 100 * time.Millisecond, Closed: true}))
 	// Output:
 	// rules.Load {Worker:w1 Function:thumbnail Copies:1}
-	// rules.Send {ID:7 Worker:w1 Limit:0s}
+	// rules.Send {ID:7 Worker:w1 Limit:0s Within:0s}
 }
--- a/rules/many_test.go
+++ b/rules/many_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -128,6 +129,63 @@
 	}
 }
 
+// restart has the balancers begin anew, with nothing but the list.
+func (m *many) restart(t testing.TB, part float64, list []Worker) {
+	for i := range m.b {
+		if m.rng.Float64() >= part {
+			m.event(i, ListEvent{Scope: ListChange, Workers: list})
+			continue
+		}
+		b, err := New(m.b[i].set, uint64(i)+m.rng.Uint64())
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.b[i] = b
+		m.event(i, ListEvent{Scope: ListStale, Workers: list})
+	}
+}
+
+// Guards rule 4 where dispatchers restart while workers come back, and know of these no more than the list tells: bounded
+// is the sum over all dispatchers, in a small fleet and in a large one, also in a burst.
+func TestManyRestartedDispatchersDoNotPushAColdWorkerOver(t *testing.T) {
+	for _, peers := range []int{4, 10, 20, 30, 100, 300} {
+		for _, part := range []float64{0.1, 0.7, 1} {
+			t.Run(fmt.Sprintf("%d, of which %v restart", peers, part), func(t *testing.T) {
+				s := testSettings()
+				s.ColdFrom, s.ColdRamp, s.FallSpan = 0.27, 16*time.Second, 3*time.Second
+				const workers, rate = 10, 300
+				m := newMany(t, s, peers, workers)
+				m.play(12*time.Second, rate)
+				var list []Worker
+				for _, w := range m.b[0].list {
+					list = append(list, w.Worker)
+				}
+				const cold = 3 // of the workers, as when a room comes back
+				for i := range cold {
+					list[i].Started = m.now
+				}
+				started := m.now
+				m.sends = map[WorkerID][]time.Duration{}
+				m.restart(t, part, list)
+				m.play(8*time.Second, 1.5*rate) // a burst of half as much again
+				for _, w := range list[:cold] {
+					for i, at := range m.sends[w.ID] {
+						n := 0
+						for j := i; j >= 0 && m.sends[w.ID][j] > at-s.FallSpan; j-- {
+							n++
+						}
+						warm := s.ColdFrom + (1-s.ColdFrom)*float64(at-started)/float64(s.ColdRamp)
+						most := s.FallMultiple * warm * rate / workers / 0.6 * s.FallSpan.Seconds()
+						if most += 2*math.Sqrt(most) + 2; float64(n) > most {
+							t.Fatalf("%v after its start: %d calls within %v, at most %.0f", at-started, n, s.FallSpan, most)
+						}
+					}
+				}
+			})
+		}
+	}
+}
+
 // Guards against loads and homes by chance: few own calls must not scatter a fleet's copies.
 func TestManyDispatchersAgreeOnPlaces(t *testing.T) {
 	m := newMany(t, testSettings(), 200, 30)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -320,6 +320,18 @@
 	return true
 }
 
+// earn counts a request for the ration of orders, at the time when it came, once a worker has taken it for one. Clients
+// send by hundreds what they take back at once, or what no worker knows: these earn no orders.
+func (b *Balancer) earn(r *request) {
+	if r.earned || b.set.LoadWindow == 0 {
+		return
+	}
+	r.earned = true
+	b.taken = within(b.taken, b.now-b.set.LoadWindow)
+	i, _ := slices.BinarySearch(b.taken, r.came())
+	b.taken = slices.Insert(b.taken, i, r.came())
+}
+
 func (b *Balancer) onLoaded(e LoadedEvent) {
 	f, w := b.functions[e.Function], b.workers[e.Worker]
 	if f == nil || w == nil || !f.where(w).ordered {
@@ -427,9 +439,6 @@
 		r.aim -= c.Deadline - e.TimeLeft
 	}
 	b.tokens = math.Min(retryBurst, b.tokens+retryShare)
-	if b.set.LoadWindow > 0 {
-		b.taken = append(b.taken, b.now)
-	}
 	b.requests[e.ID] = r
 	b.open = append(b.open, r)
 	if !b.short || r.aim > b.now || b.over(r) { // over: the next sweep could come too late for its answer
@@ -577,7 +586,13 @@
 	if !b.mayGo(r, w) {
 		return
 	}
-	var limit time.Duration
+	var limit, within time.Duration
+	for _, a := range r.attempts { // this one may wait for a connection: it must not begin once a repeat would run
+		if left := a.at + r.class.KeyWindow - b.now; r.class.Effect == Keyed && (a.pending || a.maybe) &&
+			(within == 0 || left < within) {
+			within = left
+		}
+	}
 	if r.class.Effect != Unsafe && !b.set.SecondCopies && !b.set.Cancel {
 		limit = (r.deadline - b.now) / 2
 	}
@@ -598,7 +613,7 @@
 		w.coldSends = append(w.coldSends, b.now)
 	}
 	r.f.where(w).inflight++
-	b.do(Send{ID: r.ID, Worker: w.ID, Limit: limit})
+	b.do(Send{ID: r.ID, Worker: w.ID, Limit: limit, Within: within})
 }
 
 // end is the one place that emits Refuse, where that is harmless, and Fail; not while an attempt is out.
@@ -673,6 +688,9 @@
 	}
 	a.unseen = e.Status == ConnectFailed || e.Status == Moot
 	a.maybe = !a.unseen && e.Status != Full && e.Status != Miss
+	if e.Status == OK || e.Status == Full || e.Status == Miss {
+		b.earn(r)
+	}
 	switch e.Status {
 	case OK:
 		b.answered(r, p, e)
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -214,6 +214,23 @@
 	}
 }
 
+// Guards rule 2 on sockets: a repeat that waits for its connection could begin after the key's window, though it was
+// decided on within it. It carries the end of that window with it.
+func TestRepeatOfAKeyedRequestCarriesTheEndOfItsWindow(t *testing.T) {
+	f := newFleet(t, testSettings(), 1)
+	f.list(6)
+	f.served("keyed", "fn")
+	id := f.request("keyed", "fn", 2*time.Second)
+	first := f.sent[len(f.sent)-1]
+	f.to(f.now + 900*ms)
+	f.outcome(id, 0, Failed)
+	f.answerOrders(OK)
+	again := f.sent[len(f.sent)-1]
+	if first.ID != id || first.Within != 0 || again.ID != id || again == first || again.Within != 100*ms {
+		t.Errorf("sent %+v, then %+v", first, again)
+	}
+}
+
 // Guards rule 1: requests are answered in time with no worker, and with a silent one.
 func TestAlwaysAnswered(t *testing.T) {
 	f := newFleet(t, testSettings(), 1)
@@ -268,6 +285,45 @@
 	}
 }
 
+// Guards the ration against clients that send by hundreds what they take back at once, or what nobody knows: each of these
+// requests earned a part of an order, and the platform does not count them as taken. Only what a worker took for a request
+// earns, at the time when it came.
+func TestRequestsThatNoWorkerHasTakenEarnNoOrders(t *testing.T) {
+	s := testSettings()
+	s.LoadWindow, s.LoadFree, s.LoadShare = 10*time.Second, 6, 0.15
+	for name, status := range map[string]Status{"taken back": Cancelled, "unknown": Failed} {
+		f := newFleet(t, s, 1)
+		f.list(12)
+		for i := range 200 {
+			id := f.request("unsafe", fmt.Sprintf("flood%d", i%20), time.Second)
+			if status == Cancelled {
+				f.open[id].answered = true
+				f.event(GoneEvent{ID: id})
+			}
+			for n := range f.open[id].sends {
+				if f.open[id].sends[n].pending {
+					f.outcome(id, n, status)
+				}
+			}
+		}
+		f.to(f.now + time.Second) // and so much for that
+		f.loads = nil
+		for i := range 60 {
+			id := f.request("safe", fmt.Sprintf("f%d", i), 2*time.Second)
+			for n := 0; n < len(f.open[id].sends); n++ { // not loaded anywhere
+				if f.open[id].sends[n].pending {
+					f.outcome(id, n, Miss)
+				}
+			}
+			f.answerOrders(OK)
+			f.to(f.now + 5*ms)
+		}
+		if n := len(f.loads); n < 6 || n > 6+60*15/100 {
+			t.Errorf("%s: %d orders for 60 requests", name, n)
+		}
+	}
+}
+
 func TestSilentWorkerIsPassedOver(t *testing.T) {
 	s := testSettings()
 	f := newFleet(t, s, 1)
--- a/rules/state.go
+++ b/rules/state.go
@@ -96,6 +96,7 @@
 	attempts        []*attempt
 	out             int
 	closed, started bool
+	earned          bool    // it counts for the ration of orders
 	called          bool    // its attempt was called off to make room for another
 	wait            *placed // the order it waits on, till waitUntil
 	turn            int     // of its function's group
@@ -199,8 +200,9 @@
 	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.pending || a.maybe })
 }
 
-// half is when half of its time is over.
-func (r *request) half() time.Duration { return r.deadline - r.TimeLeft + r.TimeLeft/2 }
+// came is when it came, and half when half of its time is over.
+func (r *request) came() time.Duration { return r.deadline - r.TimeLeft }
+func (r *request) half() time.Duration { return r.came() + r.TimeLeft/2 }
 
 // written tells that an attempt has reached a worker, or may have.
 func (r *request) written() bool {
