Show the end of a synchronous call together with its result

Seen: under a busy machine TestOneKeyManyTimesAtOnce failed once in 180 runs of the state before: two of six callers under one Idempotency-Key were told 'served' with an empty result, on record. Ruled out: the store (Ended and the result come in one change) and a second run (one run at the worker).

Lines: desk.end set the end in step and the result in a second section of the same lock; a view between the two had one without the other. Now step keeps the result under the lock that sets the end.

--- a/internal/ticket/desk/life.go
+++ b/internal/ticket/desk/life.go
@@ -186,6 +186,9 @@
 			t.Body = nil
 			l.ticket = t
 		}
+		if err == nil {
+			l.keep(result)
+		}
 		return err
 	}
 	t := new(*l.ticket)
@@ -206,20 +209,24 @@
 		l.onRecord = true
 	}
 	l.ticket = t
+	l.keep(result)
 	return nil
 }
 
+// keep has the result seen together with the end that it belongs to, with l locked: who asks between the two would be
+// told of an empty one.
+func (l *life) keep(result []byte) {
+	if l.ticket.End == ticket.Served {
+		l.result = result
+	}
+}
+
 // end gives a synchronous call its final answer. As for settle: nothing is told that could not be stored.
 func (d *Desk) end(l *life, a call.Answer) {
 	f := fact(a)
 	for {
 		failpoint.Hit("before-end")
 		err := d.step(l, f, a.Body)
-		if err == nil {
-			l.mu.Lock()
-			l.result = a.Body
-			l.mu.Unlock()
-		}
 		if err == nil || !errors.Is(err, ticket.ErrStore) {
 			failpoint.Hit("after-end")
 			d.close(l)
