Begin nothing of a call that is over, and know what an ending connection has written

- A client that leaves while its call waits in the owner's queue, at the link or for a connection: the owner heard of the call before it heard of its end, and where a site lets nothing be called off (cancel false) a waiting attempt began after its call was answered.
Handle.over is set at once, by whoever ends the call; accept, launch and Link.write ask.
- Word of a drain or of a gone worker while a job waits for its connection: it was written up to the grace later, also to an address that another worker may have by then. write now begins nothing after that word.
- A repeat of a keyed request that waits past its key's window (Attempt.Begin).
- The reader meets the end of a connection while the writer is in a frame: a reserva written in part failed as though it might have run. end leaves that frame to its writer.
- Calls given up after less than half a second never marked a silent connection as stale (conn.owes adds them up).
- Connections made to an earlier run of a worker, whose machine was lost, stayed in use after its return (Link.Ready).
- An idle connection past its time could be chosen before the tick that closes it (closeIdle in pick).
- An order that found no room on this side made its worker suspect (Moot, as for a call).
- A change that names a worker without its address made a second way to it.

--- a/cmd/kitefall/serve.go
+++ b/cmd/kitefall/serve.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"log/slog"
 	"math"
 	"net"
@@ -30,7 +32,9 @@
 const (
 	// linger is how long calls are taken after the order to end: clients learn of it late.
 	linger = 700 * time.Millisecond
-	// look is how often it is looked whether all is answered after that.
+	// listenBy is how long the process before may hold the address. The platform wants an answer to CHECK within 30 s.
+	listenBy = 20 * time.Second
+	// look is how often it is looked whether all is answered after that, or the address is free.
 	look = 5 * time.Millisecond
 	// identityBy is how long the Workload API may take for the first identity.
 	identityBy = 30 * time.Second
@@ -61,8 +65,7 @@
 	one, all := conf.WorkerConnections()
 	core, err := dispatch.New(dispatch.Config{Settings: conf.Settings, Seed: conf.Seed, MostOpen: conf.MostOpen(),
 		MostHeld: conf.MostHeld(), Links: worker.Config{DialTimeout: conf.Settings.DialTimeout,
-			IdleClose: conf.Connections.IdleClose, DrainGrace: conf.Settings.DrainGrace,
-			Streams: conf.Connections.Streams, Connections: one, Room: worker.NewRoom(all),
+			IdleClose: conf.Connections.IdleClose, Streams: conf.Connections.Streams, Connections: one, Room: worker.NewRoom(all),
 			Wear: worker.NewWear(conf.Connections.Handshake)}})
 	if err != nil {
 		return err
@@ -82,7 +85,7 @@
 			return err
 		}
 	}
-	ln, err := net.Listen("tcp", conf.Listen)
+	ln, err := listen(conf.Listen, time.Now().Add(listenBy), ended)
 	if err != nil {
 		return err
 	}
@@ -119,6 +122,22 @@
 	return err
 }
 
+// listen opens the listener of the platform's front. The process before this one may still be ending at its address, so
+// it is tried again until then, or until the program is told to end.
+func listen(addr string, by time.Time, ended chan os.Signal) (net.Listener, error) {
+	for {
+		ln, err := net.Listen("tcp", addr)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || !time.Now().Before(by) {
+			return ln, err
+		}
+		select {
+		case s := <-ended:
+			return nil, fmt.Errorf("%w: told to end by %v", err, s)
+		case <-time.After(look):
+		}
+	}
+}
+
 // reload reads the configuration again and follows the board that it names, in whatever phase the program is: a
 // drain must be heard of also by one that ends. A file that cannot be used changes nothing.
 func reload(path string, old *config.Config, watcher *board.Watcher, phases *life.Life) {
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -11,6 +12,7 @@
 	"sync"
 	"time"
 
+	"kitefall/internal/quiet"
 	"kitefall/rules"
 )
 
@@ -20,7 +22,7 @@
 	// new work to a worker that drains must end a grace of 1 s after what the board would have told.
 	linger     = time.Second
 	answerBy   = linger + 400*time.Millisecond // a poll unanswered by then is lost, and another is made
-	again      = 50 * time.Millisecond         // pause after a failed poll
+	again      = 50 * time.Millisecond         // pause after a poll that failed, or told nothing new before its time
 	mostAnswer = 4 << 20                       // bytes of an answer
 )
 
@@ -61,7 +63,6 @@
 type List struct {
 	Scope   rules.ListScope
 	Entries []Entry
-	Told    time.Time // when it came
 }
 
 func (t Target) entry() Entry {
@@ -79,9 +80,15 @@
 	return Entry{Worker: w, Addr: t.Endpoint}
 }
 
+// errNothingNew tells of an answer that came before its time and told nothing.
+var errNothingNew = errors.New("an answer before its time that told nothing new")
+
 // direct reaches the board without a proxy, whatever the environment says.
 var direct = &http.Client{Transport: &http.Transport{}}
 
+// unnamed is the log line of entries that name no worker: a board can repeat them at will.
+var unnamed = quiet.NewLine()
+
 // Watcher holds the number of the last event and passes later ones on, each once and in order.
 type Watcher struct {
 	rev  int64
@@ -117,26 +124,30 @@
 // Known takes in the events of the start: they may be old.
 func (w *Watcher) Known(n Notices) { w.take(n, rules.ListStale) }
 
-func (w *Watcher) take(n Notices, whole rules.ListScope) {
+// take passes on the events that are new, and tells whether there were any. Only what has been told counts as told: the
+// number of the last event, which comes with the answer, may be that of one that has not come.
+func (w *Watcher) take(n Notices, whole rules.ListScope) (news bool) {
 	for _, e := range n.Notices {
 		// A late answer may repeat events: an old one taken again would undo a newer one. A change says
 		// nothing before there is a list that it could change.
 		if e.Rev <= w.rev || !w.seen && !e.Pool.All {
 			continue
 		}
-		w.rev = e.Rev
-		l := List{Scope: rules.ListChange, Told: time.Now()}
+		w.rev, news = e.Rev, true
+		l := List{Scope: rules.ListChange}
 		if e.Pool.All {
 			l.Scope, w.seen = whole, true
 		}
 		for _, t := range e.Pool.Targets {
+			if t.UID == "" {
+				unnamed.Log(slog.LevelWarn, "board: an entry names no worker", "rev", e.Rev, "addr", t.Endpoint)
+				continue
+			}
 			l.Entries = append(l.Entries, t.entry())
 		}
 		w.pass(l)
 	}
-	if w.seen {
-		w.rev = max(w.rev, n.Rev)
-	}
+	return news
 }
 
 // Run polls the board until ctx ends.
@@ -168,7 +179,8 @@
 }
 
 func (w *Watcher) poll(ctx context.Context, addr string, moved chan struct{}) error {
-	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(answerBy))
+	asked := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, asked.Add(answerBy))
 	defer cancel()
 	go func() {
 		select {
@@ -194,6 +206,8 @@
 	if err := json.NewDecoder(io.LimitReader(a.Body, mostAnswer)).Decode(&n); err != nil {
 		return err
 	}
-	w.take(n, rules.ListFull)
+	if !w.take(n, rules.ListFull) && time.Since(asked) < linger/2 {
+		return errNothingNew // asked again without a pause, it would be asked without end
+	}
 	return nil
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -53,7 +53,9 @@
 	known  atomic.Bool
 
 	// The rest belongs to the owner, the goroutine of Run.
-	module  *rules.Balancer
+	module interface { // a rules.Balancer, but for tests
+		Handle(now time.Duration, e rules.Event) []rules.Action
+	}
 	now     time.Duration
 	last    rules.RequestID
 	calls   map[rules.RequestID]*open
@@ -73,6 +75,7 @@
 // open is a call that is not answered, or has attempts out.
 type open struct {
 	*call.Call
+	handle   *Handle
 	id       rules.RequestID
 	attempts []*attempt
 	out      int
@@ -87,6 +90,7 @@
 	worker rules.WorkerID
 	at     time.Time
 	until  time.Time
+	begin  time.Time // it must not begin after this; zero: while somebody waits
 	over   bool
 	ran    bool // it may have run
 	link   *link
@@ -131,6 +135,7 @@
 type Handle struct {
 	core *Core
 	id   rules.RequestID
+	over atomic.Bool // answered or given up: nothing of the call may begin any more, wherever it waits
 }
 
 // Submit hands a call in. With an error it was not taken, and its Done will not be called.
@@ -156,8 +161,10 @@
 	c.held.Add(-int64(len(k.Body)))
 }
 
-// GiveUp tells that the client has left: no answer is owed, and Done is not called any more.
+// GiveUp tells that the client has left: no answer is owed, and Done is not called any more. From this moment on no
+// attempt begins, though the owner may hear of it late.
 func (h *Handle) GiveUp() {
+	h.over.Store(true)
 	h.core.post(func() {
 		if o := h.core.calls[h.id]; o != nil && !o.closed {
 			h.core.close(o)
@@ -263,8 +270,12 @@
 }
 
 func (c *Core) accept(k *call.Call, h *Handle) {
+	if h.over.Load() { // its client has gone while it waited here
+		c.release(k)
+		return
+	}
 	c.last++
-	o := &open{Call: k, id: c.last, marked: k.MayRun == nil}
+	o := &open{Call: k, handle: h, id: c.last, marked: k.MayRun == nil}
 	h.id = o.id
 	c.calls[o.id] = o
 	s := &c.config.Settings
@@ -295,6 +306,7 @@
 
 func (c *Core) close(o *open) {
 	o.closed = true
+	o.handle.over.Store(true)
 	c.drop(o.due)
 	c.release(o.Call)
 	c.forget(o)
@@ -316,6 +328,9 @@
 	if a.Limit > 0 && now.Add(a.Limit).Before(t.until) {
 		t.until = now.Add(a.Limit)
 	}
+	if a.Within > 0 {
+		t.begin = now.Add(a.Within)
+	}
 	o.attempts = append(o.attempts, t)
 	o.out++
 	if o.marked {
@@ -345,11 +360,12 @@
 	if t.over {
 		return
 	}
-	if l == nil || t.closed || !time.Now().Before(t.until) {
+	if l == nil || t.handle.over.Load() || !time.Now().Before(t.until) {
 		c.outcome(t, worker.Result{Status: rules.Moot})
 		return
 	}
-	job, err := l.Call(t.ID, t.Class, t.Function, t.Body, t.until, func(r worker.Result) {
+	job, err := l.Call(worker.Attempt{ID: t.ID, Class: t.Class, Function: t.Function, Body: t.Body, Until: t.until,
+		Begin: t.begin, Over: t.handle.over.Load}, func(r worker.Result) {
 		c.post(func() { c.outcome(t, r) })
 	})
 	if err != nil { // for want of room on this side, which says nothing of the worker
@@ -401,8 +417,8 @@
 	job, err := o.link.Load(string(a.Function), a.Copies, until, func(r worker.Result) {
 		c.post(func() { c.loaded(o, r) })
 	})
-	if err != nil {
-		c.loaded(o, worker.Result{Status: rules.ConnectFailed})
+	if err != nil { // as for a call: nothing is said of the worker
+		c.loaded(o, worker.Result{Status: rules.Moot})
 		return
 	}
 	o.job = job
@@ -431,24 +447,27 @@
 		named[w.ID] = true
 		e.Workers = append(e.Workers, w.Worker)
 		k := c.links[w.ID]
+		if k != nil && w.Addr == "" { // a change may name a worker without it
+			w.Addr = k.addr
+		}
 		if k == nil || k.addr != w.Addr {
 			if k != nil { // it came back elsewhere; what is open there may still be answered
-				k.Drain(l.Told, true)
+				k.Drain(true)
 			}
 			k = &link{Link: worker.NewLink(string(w.ID), w.Addr, &c.config.Links), addr: w.Addr}
 			c.links[w.ID] = k
 		}
 		k.gone = w.State == rules.Removed
 		if w.State == rules.Ready {
-			k.Drain(time.Time{}, false)
+			k.Ready(w.Started)
 		} else {
-			k.Drain(l.Told, k.gone)
+			k.Drain(k.gone)
 		}
 	}
 	for id, k := range c.links {
 		if l.Scope != rules.ListChange && !named[id] { // who is absent from a whole list is gone
 			k.gone = true
-			k.Drain(l.Told, true)
+			k.Drain(true)
 		}
 		if k.gone && k.Idle() { // the worker will not come back under this uid; else there would be ever more of them
 			delete(c.links, id)
--- a/internal/front/resp/guard.go
+++ b/internal/front/resp/guard.go
@@ -15,6 +15,9 @@
 	mostWord   = 20 << 10
 )
 
+// acceptAgain is the pause after an accept that failed for want of descriptors or memory.
+const acceptAgain = 10 * time.Millisecond
+
 var errRequest = errors.New("not a request")
 
 // guard checks what a client sends, byte by byte, before redcon reads it. Redcon takes lengths as they are
@@ -95,6 +98,7 @@
 	g.server.mu.Lock()
 	g.closed = true
 	delete(g.server.conns, g)
+	g.server.gone.Broadcast()
 	g.server.mu.Unlock()
 	return g.Conn.Close()
 }
@@ -176,9 +180,26 @@
 func (l listener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
+			// Told of the end, redcon closes all that it still holds: also a connection whose first request has come, or
+			// is being handed over in this moment. So it hears of the end only once no client is left.
+			l.server.mu.Lock()
+			for len(l.server.conns) > 0 {
+				l.server.gone.Wait()
+			}
+			l.server.mu.Unlock()
 			return nil, err
 		}
+		if err != nil {
+			// Out of descriptors, most likely. Redcon would ask again without a pause, and the processor with it; the
+			// connection idle longest makes room for the next.
+			l.server.starved.Log(slog.LevelWarn, "front: cannot accept", "err", err)
+			if g := l.server.longestIdle(); g != nil {
+				g.leave()
+			}
+			time.Sleep(acceptAgain)
+			continue
+		}
 		// The descriptors left are for the workers: without them no open call could end well. Whoever connects
 		// and stays must not keep the next ones out, so the connection idle longest makes room.
 		for l.full() {
--- a/internal/front/resp/resp.go
+++ b/internal/front/resp/resp.go
@@ -56,21 +56,23 @@
 	Settings rules.Settings
 	Patience Patience
 
-	turned, broke, failed *quiet.Line
+	turned, broke, failed, starved *quiet.Line
 
 	mu    sync.Mutex
 	conns map[*guard]bool
+	gone  *sync.Cond // a connection has left conns
 	done  bool
 
 	idMu sync.Mutex
 	ids  map[uint64]bool // of the open requests of all clients
 }
 
-// Serve answers on ln, at most so many connections at a time, until ln is closed.
+// Serve answers on ln, at most so many connections at a time, until ln is closed and the last connection has ended.
 func (s *Server) Serve(ln net.Listener, connections int) error {
 	s.mu.Lock()
 	s.conns, s.ids = map[*guard]bool{}, map[uint64]bool{}
-	s.turned, s.broke, s.failed = quiet.NewLine(), quiet.NewLine(), quiet.NewLine()
+	s.gone = sync.NewCond(&s.mu)
+	s.turned, s.broke, s.failed, s.starved = quiet.NewLine(), quiet.NewLine(), quiet.NewLine(), quiet.NewLine()
 	s.mu.Unlock()
 	tick, ended := time.NewTicker(max(s.Patience.First/10, time.Millisecond)), make(chan struct{})
 	defer close(ended)
--- a/internal/worker/link.go
+++ b/internal/worker/link.go
@@ -25,7 +25,6 @@
 type Config struct {
 	DialTimeout time.Duration // a connection not made by then has failed
 	IdleClose   time.Duration // workers close idle connections after this
-	DrainGrace  time.Duration // nothing new is sent later than this after word of a drain
 	Streams     int           // calls on one connection
 	Connections int           // to one worker at most
 	Room        *Room         // for connections to all workers
@@ -55,8 +54,8 @@
 // for a second time, and would be taken for that of a later attempt.
 const spent = 10 * time.Second
 
-// silence is how long nothing is said to an open call before its end marks the connection as stale, and all others
-// of the link with it if they say nothing either.
+// silence is how long calls on a connection go without a word before the end of one marks it as stale, and all others
+// of the link with it if they say nothing either. Where calls are given up sooner, several in a row make it up.
 const silence = 500 * time.Millisecond
 
 // ended is the log line of connections that end: peers can cause any number of them.
@@ -76,6 +75,16 @@
 	Body   []byte
 }
 
+// Attempt is one run of a call that a worker is asked for.
+type Attempt struct {
+	ID              uint64
+	Class, Function string
+	Body            []byte
+	Until           time.Time   // nobody waits for its answer after this
+	Begin           time.Time   // not begun after this; zero: while somebody waits
+	Over            func() bool // the call is over, and nothing of it may begin; asked from any goroutine; nil: it never is
+}
+
 // Job is an attempt or an order on its way through a link.
 type Job struct {
 	id      uint64
@@ -83,6 +92,8 @@
 	fields  func(now time.Time) string
 	body    []byte
 	until   time.Time    // not written after this
+	begin   time.Time    // nor after this
+	over    func() bool  // nor once this says so
 	done    func(Result) // from a goroutine of the link
 	conn    *conn
 	ended   bool
@@ -90,16 +101,19 @@
 	written time.Time
 }
 
+// late tells that a job may not begin any more.
+func (j *Job) late(now time.Time) bool { return now.After(j.begin) || j.over != nil && j.over() }
+
 // Link is the way to one worker, known by its uid: addresses are given anew to other workers.
 type Link struct {
 	uid, addr string
 	config    *Config
 
-	mu      sync.Mutex
-	conns   []*conn
-	heard   time.Time // when an answer last came, on any connection
-	drained time.Time // when word came that it drains or is gone
-	gone    bool
+	mu       sync.Mutex
+	conns    []*conn
+	heard    time.Time // when an answer last came, on any connection
+	draining bool      // word has come that it drains or is gone
+	gone     bool
 }
 
 // NewLink returns the link to a worker. It connects when there is something to send.
@@ -115,22 +129,28 @@
 	open        map[uint64]*Job
 	spent       map[uint64]time.Time // ids that have ended here: further answers to them may come
 	shut, stale bool
-	since       time.Time // when it was last in use
+	writing     *Job      // its frame is under way: its writer alone can tell whether it was written whole
+	made, since time.Time // when it was begun, and when it was last in use
+	owes        time.Time // when the first call was written that no word has come after; zero: none
 }
 
 // Call sends an attempt. An error means that nothing was or will be sent, and done is not called.
-func (l *Link) Call(id uint64, class, function string, body []byte, until time.Time, done func(Result)) (*Job, error) {
+func (l *Link) Call(a Attempt, done func(Result)) (*Job, error) {
 	fields := func(now time.Time) string {
-		left := max(1, until.Sub(now).Milliseconds())
-		return "profile=" + class + ",thing=" + function + ",max=" + strconv.FormatInt(left, 10)
+		left := max(1, a.Until.Sub(now).Milliseconds())
+		return "profile=" + a.Class + ",thing=" + a.Function + ",max=" + strconv.FormatInt(left, 10)
+	}
+	j := &Job{id: a.ID, code: codeCall, fields: fields, body: a.Body, until: a.Until, begin: a.Until, over: a.Over, done: done}
+	if !a.Begin.IsZero() && a.Begin.Before(a.Until) {
+		j.begin = a.Begin
 	}
-	return l.send(&Job{id: id, code: codeCall, fields: fields, body: body, until: until, done: done})
+	return l.send(j)
 }
 
 // Load orders that the worker hold at least so many copies of a function; 0 only asks.
 func (l *Link) Load(function string, copies int, until time.Time, done func(Result)) (*Job, error) {
 	fields := func(time.Time) string { return fmt.Sprintf("thing=%s,n=%d", function, copies) }
-	return l.send(&Job{id: rand.Uint64(), code: codeLoad, fields: fields, until: until, done: done})
+	return l.send(&Job{id: rand.Uint64(), code: codeLoad, fields: fields, until: until, begin: until, done: done})
 }
 
 // Drop has the idle copies of a function unloaded. There is no answer.
@@ -139,7 +159,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = l.send(&Job{id: id, code: codeDrop, fields: func(time.Time) string { return "" }, until: until})
+	_, err = l.send(&Job{id: id, code: codeDrop, fields: func(time.Time) string { return "" }, until: until, begin: until})
 	return err
 }
 
@@ -173,6 +193,7 @@
 // pick finds a connection for a job: an idle one, else a new one where that is worth its price, else that with the
 // fewest open. Peers may cut a connection or spoil an answer at any time, and whatever is open there then fails with it.
 func (l *Link) pick(j *Job) *conn {
+	l.closeIdle(time.Now()) // the tick that does so may be late, and the worker's own close would cross the call
 	var best *conn
 	for _, c := range l.conns {
 		_, used := c.spent[j.id]
@@ -188,14 +209,27 @@
 		l.config.Room.left.Add(1)
 		return best
 	}
+	now := time.Now()
 	c := &conn{link: l, out: make(chan *Job, 4*l.config.Streams), closed: make(chan struct{}),
-		open: map[uint64]*Job{}, spent: map[uint64]time.Time{}, since: time.Now()}
+		open: map[uint64]*Job{}, spent: map[uint64]time.Time{}, made: now, since: now}
 	l.conns = append(l.conns, c)
 	l.config.Wear.count(1, 0)
-	go c.run(time.Now().Add(l.config.DialTimeout))
+	go c.run(now.Add(l.config.DialTimeout))
 	return c
 }
 
+// early is when this side closes an idle connection.
+func (c *Config) early() time.Duration { return time.Duration(closeEarly * float64(c.IdleClose)) }
+
+// closeIdle closes the connections that are of no further use, with l locked.
+func (l *Link) closeIdle(now time.Time) {
+	for _, c := range slices.Clone(l.conns) {
+		if len(c.open) == 0 && len(c.out) == 0 && c.writing == nil && (c.stale || l.gone || now.Sub(c.since) > l.config.early()) {
+			c.shutdown()
+		}
+	}
+}
+
 // GiveUp ends the wait for a job and tells whether any of it was written. Its done is not called any more,
 // unless it is being called already.
 func (l *Link) GiveUp(j *Job) bool {
@@ -208,10 +242,14 @@
 	now := time.Now()
 	// A machine that was cut off leaves its connections open and silent. New ones tell: they fail to come up,
 	// and what was to go there never ran. If only this connection is silent, its peer may have lost the call.
-	if now.Sub(j.written) > silence {
+	since := j.written
+	if !c.owes.IsZero() && c.owes.Before(since) {
+		since = c.owes
+	}
+	if now.Sub(since) > silence {
 		c.stale = true
 		for _, o := range l.conns {
-			o.stale = o.stale || l.heard.Before(j.written)
+			o.stale = o.stale || l.heard.Before(since)
 		}
 	}
 	if c.spent[j.id] = now; j.code == codeCall {
@@ -230,19 +268,25 @@
 	return !slices.ContainsFunc(l.conns, func(c *conn) bool { return len(c.open) > 0 })
 }
 
-// Drain notes when word came that the worker drains, or is gone, or (zero time) that it is ready again.
-func (l *Link) Drain(at time.Time, gone bool) {
+// Drain notes word that the worker drains, or is gone. Nothing begins there any more, not even what has waited here:
+// at a gone worker's address another one may listen by now.
+func (l *Link) Drain(gone bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if at.IsZero() || l.drained.IsZero() {
-		l.drained = at
-	}
-	l.gone = gone
+	l.draining, l.gone = true, gone
+	l.closeIdle(time.Now())
+}
+
+// Ready notes word that the worker takes calls, and when it last started, in Unix time; 0: long ago. What was connected
+// to an earlier run of it leads nowhere: a machine that was lost never closed those connections.
+func (l *Link) Ready(started time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.draining, l.gone = false, false
 	for _, c := range l.conns {
-		if gone && len(c.open) == 0 {
-			c.shutdown()
-		}
+		c.stale = c.stale || c.made.UnixNano() < int64(started)
 	}
+	l.closeIdle(time.Now())
 }
 
 // Close breaks all connections; what is open on them may have run.
@@ -269,8 +313,7 @@
 	}
 	c.link.mu.Unlock()
 	go c.read()
-	early := time.Duration(closeEarly * float64(c.link.config.IdleClose))
-	idle := time.NewTicker(max(early/8, 10*time.Millisecond))
+	idle := time.NewTicker(max(c.link.config.early()/8, 10*time.Millisecond))
 	defer idle.Stop()
 	for {
 		select {
@@ -279,9 +322,7 @@
 		case now := <-idle.C:
 			c.link.mu.Lock()
 			maps.DeleteFunc(c.spent, func(_ uint64, at time.Time) bool { return now.Sub(at) > spent })
-			if len(c.open) == 0 && len(c.out) == 0 && (c.stale || c.link.gone || now.Sub(c.since) > early) {
-				c.shutdown()
-			}
+			c.link.closeIdle(now)
 			c.link.mu.Unlock()
 		case <-c.closed:
 			return
@@ -297,9 +338,9 @@
 	case c.shut || j.ended && j.written.IsZero():
 	case j.ended:
 		data = frame{mark: markCommand, code: codeGiveUp, id: j.id}.encode()
-	// The last moment before the first byte: the time may have run out, or word of a drain have come, while
-	// the job waited for its connection.
-	case now.After(j.until), !l.drained.IsZero() && now.Sub(l.drained) >= l.config.DrainGrace:
+	// The last moment before the first byte: the time may have run out, the client have gone, or word of a drain have
+	// come, while the job waited for its connection.
+	case l.draining, j.late(now):
 		if j.code == codeLoad {
 			never.Status = rules.Full
 		}
@@ -307,7 +348,10 @@
 		c.finish(j, never)
 		return
 	default:
-		j.written = now
+		j.written, c.writing = now, j
+		if j.code == codeCall && c.owes.IsZero() {
+			c.owes = now
+		}
 		data = frame{mark: markCommand, code: j.code, id: j.id, fields: j.fields(now), body: j.body}.encode()
 	}
 	c.since = now
@@ -319,10 +363,14 @@
 	failpoint.Hit("frame-before-write")
 	n, err := c.net.Write(data)
 	failpoint.Hit("frame-after-write")
-	if err != nil {
-		if n == len(data) || data[1] == codeGiveUp {
-			j = nil
-		}
+	l.mu.Lock()
+	c.writing = nil
+	shut := c.shut
+	l.mu.Unlock()
+	if n == len(data) || data[1] == codeGiveUp {
+		j = nil // written whole, or nothing that could run
+	}
+	if err != nil || shut { // shut: the reader met the end meanwhile, and left this job to its writer
 		c.end(err, j)
 	}
 }
@@ -345,7 +393,7 @@
 		result, ok := f.result()
 		c.link.mu.Lock()
 		j := c.open[f.id]
-		c.link.heard, c.since = now, now
+		c.link.heard, c.since, c.owes = now, now, time.Time{}
 		if j != nil && result.Status != rules.OK { // the call may come here again, and this answer too
 			c.spent[f.id] = now
 		}
@@ -409,7 +457,8 @@
 }
 
 // end closes the connection and ends what is open on it. What was not written whole never ran: it goes to another
-// connection, once, unless this one never came up. All else may have run.
+// connection, once, unless this one never came up. All else may have run. A frame under way is left to its writer,
+// which ends the connection again and knows how far it came.
 func (c *conn) end(err error, partial *Job) {
 	l := c.link
 	l.mu.Lock()
@@ -423,6 +472,10 @@
 	c.shutdown()
 	open := c.open
 	c.open = map[uint64]*Job{}
+	if j := c.writing; j != nil && open[j.id] == j {
+		delete(open, j.id)
+		c.open[j.id] = j
+	}
 	l.mu.Unlock()
 	for _, j := range open {
 		never := j == partial || j.written.IsZero()
