--- a/cmd/kitefall/main_test.go
+++ b/cmd/kitefall/main_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -142,3 +143,27 @@
 	}
 	assert.NoError(t, <-ended)
 }
+
+// The process before may still be ending at the address: the start waits for it, and for no longer than it is told to end.
+func TestStartWaitsForTheAddress(t *testing.T) {
+	before, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr, ended := before.Addr().String(), make(chan os.Signal, 1)
+	got := make(chan error, 1)
+	start := func(by time.Time) {
+		ln, err := listen(addr, by, ended)
+		if err == nil {
+			ln.Close()
+		}
+		got <- err
+	}
+	go start(standin.By())
+	ended <- syscall.SIGTERM
+	assert.ErrorIs(t, <-got, syscall.EADDRINUSE)
+	start(time.Now())
+	assert.ErrorIs(t, <-got, syscall.EADDRINUSE)
+	go start(standin.By())
+	require.Empty(t, got)
+	before.Close()
+	assert.NoError(t, <-got)
+}
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -81,3 +82,46 @@
 	assert.Equal(t, "41", <-watch)
 	<-ended
 }
+
+// A board that repeats what is known, at once and without end, is asked again after a pause; one that names a last event
+// without telling of it is asked for that event again. What names no worker is left out.
+func TestAnswersThatTellNothingNew(t *testing.T) {
+	const most = 4
+	asked := make(chan time.Time, most+1)
+	watches := make(chan string, most+1)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch len(asked) {
+		case most:
+			cancel()
+		case most - 1: // at last
+			w.Write([]byte(`{"rev":44,"notices":[{"rev":42,"pool":{"targets":[{"state":"active","endpoint":"10.1.0.9:1"},
+				{"uid":"s-1","state":"leaving"}]}}]}`))
+		case 1:
+			w.Write([]byte(`{"rev":43,"notices":[]}`))
+		default:
+			w.Write([]byte(whole))
+		}
+		asked <- time.Now()
+		watches <- r.URL.Query().Get("watch")
+	}))
+	defer server.Close()
+	var news []board.List
+	w := board.NewWatcher(strings.TrimPrefix(server.URL, "http://"), func(l board.List) { news = append(news, l) })
+	var known board.Notices
+	require.NoError(t, json.Unmarshal([]byte(whole), &known))
+	w.Known(known)
+	w.Run(ctx)
+	require.Len(t, asked, most+1)
+	first := <-asked
+	for range most - 1 {
+		next := <-asked
+		assert.GreaterOrEqual(t, next.Sub(first), 40*time.Millisecond)
+		first = next
+	}
+	assert.Equal(t, []string{"41", "41", "41", "41", "42"}, []string{<-watches, <-watches, <-watches, <-watches, <-watches})
+	require.Len(t, news, 2)
+	require.Len(t, news[1].Entries, 1)
+	assert.Equal(t, rules.WorkerID("s-1"), news[1].Entries[0].ID)
+}
