--- a/cmd/kitefall/main_test.go
+++ b/cmd/kitefall/main_test.go
@@ -144,26 +144,27 @@
 	assert.NoError(t, <-ended)
 }
 
-// The process before may still be ending at the address: the start waits for it, and for no longer than it is told to end.
+// The process before may still be ending at the address: the start waits for it, until its time or until it is told to end.
 func TestStartWaitsForTheAddress(t *testing.T) {
 	before, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	addr, ended := before.Addr().String(), make(chan os.Signal, 1)
-	got := make(chan error, 1)
-	start := func(by time.Time) {
-		ln, err := listen(addr, by, ended)
-		if err == nil {
-			ln.Close()
+	tries, ended := 0, make(chan os.Signal, 1)
+	open := func(free int) func() (net.Listener, error) {
+		tries = 0
+		return func() (net.Listener, error) {
+			if tries++; tries == free {
+				before.Close()
+			}
+			return net.Listen("tcp", before.Addr().String())
 		}
-		got <- err
 	}
-	go start(standin.By())
+	_, err = listen(open(0), time.Now(), ended)
+	assert.ErrorIs(t, err, syscall.EADDRINUSE)
 	ended <- syscall.SIGTERM
-	assert.ErrorIs(t, <-got, syscall.EADDRINUSE)
-	start(time.Now())
-	assert.ErrorIs(t, <-got, syscall.EADDRINUSE)
-	go start(standin.By())
-	require.Empty(t, got)
-	before.Close()
-	assert.NoError(t, <-got)
+	_, err = listen(open(0), standin.By(), ended)
+	assert.ErrorIs(t, err, syscall.EADDRINUSE)
+	ln, err := listen(open(3), standin.By(), ended)
+	require.NoError(t, err)
+	ln.Close()
+	assert.Equal(t, 3, tries)
 }
--- a/cmd/kitefall/serve.go
+++ b/cmd/kitefall/serve.go
@@ -85,7 +85,7 @@
 			return err
 		}
 	}
-	ln, err := listen(conf.Listen, time.Now().Add(listenBy), ended)
+	ln, err := listen(func() (net.Listener, error) { return net.Listen("tcp", conf.Listen) }, time.Now().Add(listenBy), ended)
 	if err != nil {
 		return err
 	}
@@ -124,9 +124,9 @@
 
 // listen opens the listener of the platform's front. The process before this one may still be ending at its address, so
 // it is tried again until then, or until the program is told to end.
-func listen(addr string, by time.Time, ended chan os.Signal) (net.Listener, error) {
+func listen(open func() (net.Listener, error), by time.Time, ended chan os.Signal) (net.Listener, error) {
 	for {
-		ln, err := net.Listen("tcp", addr)
+		ln, err := open()
 		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || !time.Now().Before(by) {
 			return ln, err
 		}
