--- a/cmd/kitefall/main_test.go
+++ b/cmd/kitefall/main_test.go
@@ -168,3 +168,99 @@
 	ln.Close()
 	assert.Equal(t, 3, tries)
 }
+
+// check asks a dispatcher whether it is ready.
+func check(t *testing.T, c net.Conn) string {
+	fmt.Fprint(c, "*3\r\n$5\r\nCHECK\r\n$1\r\n9\r\n$0\r\n\r\n")
+	answer := make([]byte, 64)
+	n, err := c.Read(answer)
+	require.NoError(t, err)
+	return strings.Fields(string(answer[:n]))[4]
+}
+
+// A process that starts while discovery is down is ready with the list of its start. Word of a new board that comes after
+// the word to end is followed too, since drains must be heard of until the last call; what the file cannot be used for
+// changes nothing, and the program does not go back to serving.
+func TestReadyWithoutDiscoveryAndReloadedWhileItEnds(t *testing.T) {
+	w, addr, path := standin.NewWorker(t), free(t), filepath.Join(t.TempDir(), "config.json")
+	polls := make(chan string, 64)
+	next := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		polls <- r.URL.Query().Get("watch")
+		<-r.Context().Done()
+	}))
+	t.Cleanup(next.Close)
+	configure(t, path, addr, "127.0.0.1:1", w)
+	ended := make(chan error, 1)
+	go func() { ended <- run(path, "") }()
+	c := connect(t, addr)
+	require.Eventually(t, func() bool { return check(t, c) == "yes" }, 5e9, 1e6)
+	fields := "id=9b1f03aa5c7e2d41,wait=4000,key=7f3a9c21e0b4d655"
+	fmt.Fprintf(c, "*5\r\n$4\r\nCALL\r\n$1\r\n1\r\n$7\r\nreserva\r\n$%d\r\n%s\r\n$1\r\nx\r\n", len(fields), fields)
+	open := w.Next()
+	for _, text := range []string{"", `{"board":`, `{"board":"","seed":"1","settings":{"grades":[]}}`, "[]"} {
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+		require.Equal(t, "yes", check(t, c), "after %q", text)
+	}
+	require.NoError(t, os.Remove(path))
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	require.Equal(t, "yes", check(t, c))
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	require.Eventually(t, func() bool { return check(t, c) == "no" }, 5e9, 1e6)
+	configure(t, path, addr, strings.TrimPrefix(next.URL, "http://"), w)
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	require.Equal(t, "1", <-polls)
+	require.Equal(t, "no", check(t, c))
+	open.OK("done")
+	got, err := io.ReadAll(c)
+	require.NoError(t, err)
+	assert.Contains(t, string(got), "done")
+	assert.NoError(t, <-ended)
+}
+
+// Told to end before the list is known, with nothing open: it ends.
+func TestEndsWhileItStarts(t *testing.T) {
+	w, addr, path := standin.NewWorker(t), free(t), filepath.Join(t.TempDir(), "config.json")
+	configure(t, path, addr, "127.0.0.1:1", w)
+	text, err := os.ReadFile(path)
+	require.NoError(t, err)
+	known := strings.Index(string(text), `"known"`)
+	rest := strings.Index(string(text), `"settings"`)
+	require.NoError(t, os.WriteFile(path, []byte(string(text[:known])+string(text[rest:])), 0o600))
+	ended := make(chan error, 1)
+	go func() { ended <- run(path, "") }()
+	c := connect(t, addr)
+	assert.Equal(t, "no", check(t, c))
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	assert.NoError(t, <-ended)
+}
+
+// Idle clients take all the connections that they can get while discovery is down: new clients, and the workers, are
+// reached all the same.
+func TestIdleClientsLeaveRoomForCalls(t *testing.T) {
+	w, addr, path := standin.NewWorker(t), free(t), filepath.Join(t.TempDir(), "config.json")
+	configure(t, path, addr, "127.0.0.1:1", w)
+	text, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(path, []byte(strings.Replace(string(text), `"sockets":1024`, `"sockets":64`, 1)), 0o600))
+	ended := make(chan error, 1)
+	go func() { ended <- run(path, "") }()
+	var idle []net.Conn
+	for range 80 {
+		idle = append(idle, connect(t, addr))
+	}
+	c := connect(t, addr)
+	require.Eventually(t, func() bool { return check(t, c) == "yes" }, 5e9, 1e6)
+	fields := "id=9b1f03aa5c7e2d41,wait=4000,key=7f3a9c21e0b4d655"
+	fmt.Fprintf(c, "*5\r\n$4\r\nCALL\r\n$1\r\n1\r\n$7\r\nreserva\r\n$%d\r\n%s\r\n$1\r\nx\r\n", len(fields), fields)
+	w.Next().OK("done")
+	answer := make([]byte, 64)
+	n, err := c.Read(answer)
+	require.NoError(t, err)
+	assert.Contains(t, string(answer[:n]), "done")
+	for _, i := range idle {
+		i.Close()
+	}
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	assert.NoError(t, <-ended)
+}
--- a/internal/dispatch/crossing_test.go
+++ b/internal/dispatch/crossing_test.go
@@ -127,3 +127,28 @@
 		}
 	}
 }
+
+// A whole list where a change was awaited: who is not in it is gone, also while a call waits for its connection there.
+func TestWholeListEndsWhatItDoesNotName(t *testing.T) {
+	w, other := standin.NewWorker(t), standin.NewWorker(t)
+	core := standin.NewCore(t, w)
+	t.Cleanup(core.Stop)
+	answered := make(chan call.Answer, 1)
+	core.News(standin.List(other))
+	_, err := core.Submit(newCall(1, "x", func(a call.Answer) { answered <- a }))
+	require.NoError(t, err)
+	other.Next().OK("done")
+	assert.Equal(t, call.Served, (<-answered).Outcome)
+	core.News(board.List{Scope: rules.ListFull}) // names nobody: what comes is refused, and the program goes on
+	k := newCall(2, "y", func(a call.Answer) { answered <- a })
+	k.Deadline = time.Now().Add(200 * time.Millisecond)
+	_, err = core.Submit(k)
+	require.NoError(t, err)
+	assert.Equal(t, call.Refused, (<-answered).Outcome)
+	core.News(standin.List(w))
+	_, err = core.Submit(newCall(3, "z", func(a call.Answer) { answered <- a }))
+	require.NoError(t, err)
+	w.Next().OK("done")
+	assert.Equal(t, call.Served, (<-answered).Outcome)
+	assert.Zero(t, w.Runs("x")+w.Runs("y")+other.Runs("y")+other.Runs("z"))
+}
--- a/internal/front/resp/resp_test.go
+++ b/internal/front/resp/resp_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -284,3 +285,53 @@
 	k.OK("done")
 	assert.Equal(t, "1 ok  done", busy.hear())
 }
+
+// A client that closes has gone. One that closes only its sending half looks just the same: both send the end of the
+// stream and nothing more, and the platform's protocol has no word that tells them apart. What it asked for is given up.
+func TestEndOfTheStreamIsTheEndOfItsCalls(t *testing.T) {
+	w := standin.NewWorker(t)
+	c := dispatcher(t, w)()
+	c.call(1, "reserva", "book")
+	k := w.Next()
+	require.NoError(t, c.Conn.(*net.TCPConn).CloseWrite())
+	assert.Equal(t, k.ID, <-w.Gone)
+	k.OK("late")
+	_, err := c.r.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
+
+// The same with a call behind it that has not begun: the last bytes of both come with the end of the stream.
+func TestCallsThatComeWithTheEndOfTheStream(t *testing.T) {
+	w := standin.NewWorker(t)
+	s, connect := serve(t, w)
+	c := connect()
+	c.call(1, "reserva", "book")
+	c.call(2, "consulta", "look")
+	c.Close()
+	require.Eventually(t, func() bool { return s.Clients() == 0 && s.Core.Open() == 0 }, 10*time.Second, time.Millisecond)
+	other := connect()
+	other.call(3, "reserva", "other")
+	for k := w.Next(); ; k = w.Next() { // what had begun before the end was read may be there
+		if k.Body == "other" {
+			k.OK("done")
+			break
+		}
+	}
+	assert.Equal(t, "3 ok  done", other.hear())
+}
+
+// A link that loses every other packet brings a request byte by byte.
+func TestRequestInPieces(t *testing.T) {
+	w := standin.NewWorker(t)
+	c := dispatcher(t, w)()
+	fields := "id=9b1f03aa5c7e2d41,wait=4000,tenant=acme,key=7f3a9c21e0b4d655"
+	for _, b := range []byte(fmt.Sprintf("*5\r\n$4\r\nCALL\r\n$1\r\n1\r\n$7\r\nreserva\r\n$%d\r\n%s\r\n$4\r\nbo\r\n\r\n",
+		len(fields), fields)) {
+		_, err := c.Write([]byte{b})
+		require.NoError(t, err)
+	}
+	k := w.Next()
+	assert.Equal(t, "bo\r\n", k.Body)
+	k.OK("done")
+	assert.Equal(t, "1 ok  done", c.hear())
+}
