--- /dev/null
+++ b/rules/crossing_test.go
@@ -0,0 +1,91 @@
+package rules
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// orders calls do with each order of the numbers below n.
+func orders(n int, do func([]int)) {
+	var next func(taken []int)
+	next = func(taken []int) {
+		if len(taken) == n {
+			do(taken)
+			return
+		}
+		for i := range n {
+			used := false
+			for _, j := range taken {
+				used = used || i == j
+			}
+			if !used {
+				next(append(taken[:len(taken):len(taken)], i))
+			}
+		}
+	}
+	next(nil)
+}
+
+// What may cross within one request, in every order: the end of its attempt, the drain of the worker, a fresh start of it
+// under the same name, the answer to an order, the client's end, and the module's own timer. The fleet holds every action
+// against the rules: nothing to a worker that drains, no further run of what may have run, one final answer, none and no
+// attempt for a client that has left.
+func TestEveryOrderOfWhatMayCross(t *testing.T) {
+	for _, rationed := range []bool{false, true} {
+		for _, class := range []string{"safe", "keyed", "unsafe"} {
+			for _, status := range []Status{OK, Failed, Full, Miss, Reset, TimedOut, ConnectFailed, Moot} {
+				orders(6, func(order []int) {
+					s := testSettings()
+					s.Step = sweepEvery // the module looks no oftener
+					if rationed {
+						s.LoadWindow, s.LoadFree, s.LoadShare = 10*time.Second, 2, 0.15
+					}
+					f := newFleet(t, s, 1)
+					f.list(3)
+					f.served("safe", "fn")
+					id := f.request(class, "fn", 300*ms)
+					if len(f.open[id].sends) == 0 {
+						f.answerOrders(OK)
+					}
+					if len(f.open[id].sends) == 0 {
+						t.Fatalf("%s is held", class)
+					}
+					w := f.workers[f.open[id].sends[0].w]
+					gone := false
+					for _, step := range order {
+						f.log = append(f.log, fmt.Sprint("step ", step, " of ", order))
+						switch step {
+						case 0:
+							if f.open[id].sends[0].pending {
+								f.outcome(id, 0, status)
+							}
+						case 1:
+							w.State = Draining
+							f.change(ListChange, w)
+						case 2:
+							w.State, w.Started = Ready, f.now+ms
+							f.change(ListChange, w)
+						case 3:
+							f.answerOrders(OK)
+						case 4:
+							if !f.open[id].answered {
+								gone, f.open[id].answered = true, true
+								f.event(GoneEvent{ID: id})
+							}
+						case 5:
+							f.to(f.now + 3*sweepEvery)
+						}
+					}
+					if r := f.b.requests[id]; gone && r != nil && !r.closed {
+						t.Fatalf("%s, %v, %v: open after its client has left", class, status, order)
+					}
+					f.to(f.now + 350*ms)
+					if !f.open[id].answered {
+						t.Fatalf("%s, %v, %v: never answered", class, status, order)
+					}
+				})
+			}
+		}
+	}
+}
