--- a/rules/crossing_test.go
+++ b/rules/crossing_test.go
@@ -89,3 +89,39 @@
 		}
 	}
 }
+
+// New versions of handlers come on quiet days too: one miss where a copy stood puts all copies of that function in doubt,
+// and what is missing everywhere at once is loaded at a pace, though no ration holds it back.
+func TestReleaseOnAQuietDayIsNoRush(t *testing.T) {
+	f := newFleet(t, testSettings(), 1)
+	f.list(6)
+	const functions = 40
+	name := func(i int) string { return fmt.Sprintf("fn%d", i) }
+	for i := range functions {
+		f.served("safe", name(i))
+	}
+	twice := f.b.functions["fn0"]
+	for _, w := range f.b.list { // it is believed to stand everywhere
+		p := twice.where(w)
+		p.copies, p.until = 1, f.now+f.b.trust()
+	}
+	f.loads = nil
+	for i := range functions {
+		id := f.request("safe", name(i), 2*time.Second)
+		for n := 0; n < len(f.open[id].sends); n++ {
+			if f.open[id].sends[n].pending {
+				f.outcome(id, n, Miss)
+			}
+		}
+		if i == 0 {
+			for _, p := range twice.at {
+				if f.b.stands(p) {
+					t.Errorf("a copy at %s is still believed in", p.w.ID)
+				}
+			}
+		}
+	}
+	if n := len(f.loads); n == 0 || float64(n) >= 2*f.b.window+1 { // one more while fewer are out
+		t.Errorf("%d orders at once, %v allowed in flight", n, f.b.window)
+	}
+}
