Keep the ration of load orders as they arrive, also where connections come up late

Found by reading: the platform counts an order once it has arrived, the module at its decision. One that waits for a connection (up to the connect time, and once more where that breaks) meets in one window those that were ordered after the window of its decision had passed: six free orders at one moment and six more 10 s later can arrive within one window.

Lines: Balancer.order. Orders now count for longer, and requests for less long, by the time that an order may be under way (underWay); and Load.Within keeps an order from beginning later than that (Core.load, Link.Load). The test draws arrival times for a stream of misses: without either of the two changes it finds a window above the ration, with both none. The core's and the link's part have one test each, red without (tried).

Ruled out as a cause for join: those orders were over at their decision already. Also: TestEveryOrderOfWhatMayCross plays the ration only where orders come of it, since the rest was the same again.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -409,12 +409,16 @@
 func (c *Core) load(a rules.Load) {
 	o := &order{orderKey: orderKey{a.Worker, a.Function}, at: time.Now(), link: c.links[a.Worker]}
 	until := o.at.Add(c.config.Settings.OrderTimeout)
+	begin := until
+	if a.Within > 0 {
+		begin = o.at.Add(a.Within)
+	}
 	c.orders[o.orderKey] = o
 	if o.link == nil {
 		c.loaded(o, worker.Result{Status: rules.ConnectFailed})
 		return
 	}
-	job, err := o.link.Load(string(a.Function), a.Copies, until, func(r worker.Result) {
+	job, err := o.link.Load(string(a.Function), a.Copies, begin, until, func(r worker.Result) {
 		c.post(func() { c.loaded(o, r) })
 	})
 	if err != nil { // as for a call: nothing is said of the worker
--- a/internal/dispatch/crossing_test.go
+++ b/internal/dispatch/crossing_test.go
@@ -76,10 +76,32 @@
 	go core.Run()
 	t.Cleanup(core.Stop)
 	core.News(standin.List(w))
-	core.Post(func() { core.Order(standin.List(w).Entries[0].ID, "7f3a9c21e0b4d655") })
+	core.Post(func() { core.Order(standin.List(w).Entries[0].ID, "7f3a9c21e0b4d655", 0) })
 	assert.Equal(t, rules.Moot, (<-loaded).Status)
 }
 
+// An order begins within the time that the module's ration counts with, or not at all.
+func TestOrderCarriesTheTimeInWhichItMayBegin(t *testing.T) {
+	w := standin.NewWorker(t)
+	core, err := dispatch.New(dispatch.Config{Settings: standin.Settings(), Seed: 1, Links: standin.Links(), MostOpen: 100, MostHeld: 1 << 20})
+	require.NoError(t, err)
+	loaded := make(chan rules.LoadedEvent, 16)
+	core.Tap(func(e rules.Event) {
+		if l, ok := e.(rules.LoadedEvent); ok {
+			loaded <- l
+		}
+	})
+	go core.Run()
+	t.Cleanup(core.Stop)
+	core.News(standin.List(w))
+	id := standin.List(w).Entries[0].ID
+	for within, status := range map[time.Duration]rules.Status{1: rules.Full, time.Minute: rules.OK} {
+		core.Post(func() { core.Order(id, "7f3a9c21e0b4d655", within) })
+		assert.Equal(t, status, (<-loaded).Status, "within %v", within)
+	}
+	assert.Len(t, w.Orders(), 1)
+}
+
 // A change may name a worker without its address: the way to it stays, and with it what is open there.
 func TestChangeWithoutAnAddressKeepsTheWay(t *testing.T) {
 	w := standin.NewWorker(t)
--- a/internal/dispatch/export_test.go
+++ b/internal/dispatch/export_test.go
@@ -25,8 +25,8 @@
 }
 
 // Order has a copy ordered, as the module would.
-func (c *Core) Order(w rules.WorkerID, f rules.FunctionID) {
-	c.do(rules.Load{Worker: w, Function: f, Copies: 1})
+func (c *Core) Order(w rules.WorkerID, f rules.FunctionID, within time.Duration) {
+	c.do(rules.Load{Worker: w, Function: f, Copies: 1, Within: within})
 }
 
 // Over tells whether nothing of the call may begin any more.
--- a/internal/worker/crossing_test.go
+++ b/internal/worker/crossing_test.go
@@ -111,6 +111,18 @@
 	}
 }
 
+// An order that has waited too long for its connection would count in a window of the ration that has no room for it.
+func TestOrderThatBeginsTooLateDoesNotBegin(t *testing.T) {
+	x := newCrossing(t, Config{})
+	ended := make(chan Result, 1)
+	_, err := x.link.Load("7f3a9c21e0b4d655", 1, time.Now().Add(-time.Millisecond), time.Now().Add(time.Hour),
+		func(r Result) { ended <- r })
+	require.NoError(t, err)
+	x.turn()
+	require.Len(t, ended, 1)
+	assert.Equal(t, rules.Full, (<-ended).Status)
+}
+
 // The reader meets the end of a connection while the writer is in the middle of a frame. How far that came only the
 // writer knows: in part, and the call goes elsewhere; whole, and it may have run. A reserva was lost by the guess.
 func TestEndThatCrossesAFrameLeavesItToItsWriter(t *testing.T) {
--- a/internal/worker/link.go
+++ b/internal/worker/link.go
@@ -147,10 +147,10 @@
 	return l.send(j)
 }
 
-// Load orders that the worker hold at least so many copies of a function; 0 only asks.
-func (l *Link) Load(function string, copies int, until time.Time, done func(Result)) (*Job, error) {
+// Load orders that the worker hold at least so many copies of a function; 0 only asks. It is not begun after begin.
+func (l *Link) Load(function string, copies int, begin, until time.Time, done func(Result)) (*Job, error) {
 	fields := func(time.Time) string { return fmt.Sprintf("thing=%s,n=%d", function, copies) }
-	return l.send(&Job{id: rand.Uint64(), code: codeLoad, fields: fields, until: until, begin: until, done: done})
+	return l.send(&Job{id: rand.Uint64(), code: codeLoad, fields: fields, until: until, begin: begin, done: done})
 }
 
 // Drop has the idle copies of a function unloaded. There is no answer.
--- a/internal/worker/link_test.go
+++ b/internal/worker/link_test.go
@@ -33,7 +33,7 @@
 	_, drained := call(t, l, 2, standin.By())
 	assert.Equal(t, rules.Moot, (<-drained).Status)
 	order := make(chan worker.Result, 1)
-	_, err := l.Load("7f3a9c21e0b4d655", 1, standin.By(), func(r worker.Result) { order <- r })
+	_, err := l.Load("7f3a9c21e0b4d655", 1, standin.By(), standin.By(), func(r worker.Result) { order <- r })
 	require.NoError(t, err)
 	assert.Equal(t, rules.Full, (<-order).Status)
 	l.Ready(0)
--- a/rules/api.go
+++ b/rules/api.go
@@ -264,6 +264,7 @@
 	Worker   WorkerID
 	Function FunctionID
 	Copies   int
+	Within   time.Duration // it must begin within this, or not at all; 0: while its answer may come
 }
 
 // Drop unloads a function's idle copies.
--- a/rules/crossing_test.go
+++ b/rules/crossing_test.go
@@ -35,6 +35,9 @@
 	for _, rationed := range []bool{false, true} {
 		for _, class := range []string{"safe", "keyed", "unsafe"} {
 			for _, status := range []Status{OK, Failed, Full, Miss, Reset, TimedOut, ConnectFailed, Moot} {
+				if rationed && status != Miss && status != Full { // else it orders nothing
+					continue
+				}
 				orders(6, func(order []int) {
 					s := testSettings()
 					s.Step = sweepEvery // the module looks no oftener
--- a/rules/example_test.go
+++ b/rules/example_test.go
@@ -37,6 +37,6 @@
 	show(b.Handle(500*time.Millisecond, rules.OutcomeEvent{ID: 7, Worker: "w1", Status: rules.OK,
 		Took: 100 * time.Millisecond, Closed: true}))
 	// Output:
-	// rules.Load {Worker:w1 Function:thumbnail Copies:1}
+	// rules.Load {Worker:w1 Function:thumbnail Copies:1 Within:0s}
 	// rules.Send {ID:7 Worker:w1 Limit:0s Within:0s}
 }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -306,8 +306,8 @@
 		return false
 	}
 	if b.set.LoadWindow > 0 {
-		b.orders = within(b.orders, b.now-b.set.LoadWindow)
-		b.taken = within(b.taken, b.now-b.set.LoadWindow)
+		b.orders = within(b.orders, b.now-b.set.LoadWindow-b.underWay())
+		b.taken = within(b.taken, b.now-b.set.LoadWindow+b.underWay())
 		if float64(len(b.orders)+1) > b.set.LoadFree+b.set.LoadShare*float64(len(b.taken)) {
 			return false
 		}
@@ -316,7 +316,7 @@
 	f.users++
 	p.ordered, p.orderAt = true, b.now
 	b.loads++
-	b.do(Load{Worker: p.w.ID, Function: f.id, Copies: min(copies, 16)})
+	b.do(Load{Worker: p.w.ID, Function: f.id, Copies: min(copies, 16), Within: b.underWay()})
 	return true
 }
 
@@ -327,7 +327,6 @@
 		return
 	}
 	r.earned = true
-	b.taken = within(b.taken, b.now-b.set.LoadWindow)
 	i, _ := slices.BinarySearch(b.taken, r.came())
 	b.taken = slices.Insert(b.taken, i, r.came())
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -285,6 +287,55 @@
 	}
 }
 
+// Guards the ration on sockets, where an order counts once it has arrived: some wait for a connection that comes up late, and
+// those of one moment meet those of another in one window. None begins later than it says, and whatever takes its time
+// within that, no window holds more than the ration.
+func TestRationHoldsForOrdersThatArriveLate(t *testing.T) {
+	s := testSettings()
+	s.LoadWindow, s.LoadFree, s.LoadShare = 10*time.Second, 6, 0.15
+	s.Step = 5 * ms
+	for seed := range uint64(4) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		f := newFleet(t, s, seed)
+		f.list(12)
+		var arrived []time.Duration
+		for i := range 400 {
+			f.to(f.now + time.Duration(rng.IntN(150))*ms)
+			id := f.request("safe", fmt.Sprintf("f%d", i), 2*time.Second)
+			for n := 0; n < len(f.open[id].sends); n++ { // not loaded anywhere
+				if f.open[id].sends[n].pending {
+					f.outcome(id, n, Miss)
+				}
+			}
+			for _, l := range f.orders {
+				if l.Within <= 0 || l.Within > 2*s.DialTimeout {
+					t.Fatalf("an order may begin within %v", l.Within)
+				}
+				arrived = append(arrived, f.now+time.Duration(rng.Int64N(int64(2*s.DialTimeout))))
+			}
+			f.answerOrders(OK)
+		}
+		slices.Sort(arrived)
+		for i, at := range arrived {
+			within, taken := 0, 0
+			for j := i; j >= 0 && arrived[j] > at-s.LoadWindow; j-- {
+				within++
+			}
+			for _, came := range f.taken {
+				if came > at-s.LoadWindow && came <= at {
+					taken++
+				}
+			}
+			if float64(within) > s.LoadFree+s.LoadShare*float64(taken) {
+				t.Fatalf("seed %d: %d orders arrived within %v of %v, and %d requests", seed, within, s.LoadWindow, at, taken)
+			}
+		}
+		if len(arrived) < 30 {
+			t.Fatalf("%d orders for 400 requests", len(arrived))
+		}
+	}
+}
+
 // Guards the ration against clients that send by hundreds what they take back at once, or what nobody knows: each of these
 // requests earned a part of an order, and the platform does not count them as taken. Only what a worker took for a request
 // earns, at the time when it came.
--- a/rules/state.go
+++ b/rules/state.go
@@ -290,6 +290,11 @@
 	return b.set.ColdFrom + (1-b.set.ColdFrom)*math.Max(0, float64(age))/float64(b.set.ColdRamp)
 }
 
+// underWay is how long an order may take to its worker: one connection that does not come up in time, and another. The
+// ration counts orders as they arrive, so what was ordered this long before its window may fall into it, and what was
+// taken in its first part may have left it.
+func (b *Balancer) underWay() time.Duration { return min(2*b.set.DialTimeout, b.set.LoadWindow/2) }
+
 func (b *Balancer) trust() time.Duration { return time.Duration(keepTrust * float64(b.set.Keep)) }
 
 func (b *Balancer) firstWindow() float64 { return math.Max(2, windowStart/float64(b.set.Peers)) }
