--- a/internal/durable/durable.go
+++ b/internal/durable/durable.go
@@ -154,8 +154,9 @@
 	if err := db.complete(); err != nil {
 		return nil, err
 	}
+	// Read-only, bbolt would load its list of free pages in the middle of the check, while trimOften looks at the same file.
 	db.file, err = bolt.Open(path, 0o600, &bolt.Options{Timeout: time.Until(o.LockBy), ReadOnly: o.ReadOnly,
-		FreelistType: bolt.FreelistMapType})
+		FreelistType: bolt.FreelistMapType, PreLoadFreelist: true})
 	if errors.Is(err, bolt.ErrTimeout) {
 		return nil, fmt.Errorf("%w: %s", ErrHeld, path)
 	} else if err != nil {
