--- a/internal/ticket/desk/desk.go
+++ b/internal/ticket/desk/desk.go
@@ -1,9 +1,9 @@
 // Package desk takes orders, has the core run them, and keeps their answers. What a ticket may do next is decided by
 // package ticket, which one runs next by package schedule; this package only carries out.
 //
-// A call that somebody waits for goes to the core at once, and to the disk no sooner than something could be lost: a
-// reserva just before its first byte is written to a worker, any call with an Idempotency-Key before its answer is
-// told, a consulta without one never.
+// A call that somebody waits for goes to the core at once, and to the disk no sooner than something could be lost: one
+// that must not run twice just before its first byte is written to a worker, any call with an Idempotency-Key before its
+// answer is told, one that may be repeated and has no key never.
 package desk
 
 import (
