--- a/internal/dispatch/crossing_test.go
+++ b/internal/dispatch/crossing_test.go
@@ -11,6 +11,7 @@
 	"kitefall/internal/call"
 	"kitefall/internal/dispatch"
 	"kitefall/internal/standin"
+	"kitefall/internal/worker"
 	"kitefall/rules"
 )
 
@@ -59,12 +60,9 @@
 	assert.True(t, h.Over())
 }
 
-// An order that finds no room on this side says nothing of its worker: taken for a connection that failed, it left the
-// worker out of turn.
-func TestOrderWithoutRoomSaysNothingOfTheWorker(t *testing.T) {
+// ordering starts a core that knows one worker, and returns how each of its orders ends.
+func ordering(t *testing.T, links worker.Config) (*dispatch.Core, *standin.Worker, chan rules.LoadedEvent) {
 	w := standin.NewWorker(t)
-	links := standin.Links()
-	links.Connections = 0
 	core, err := dispatch.New(dispatch.Config{Settings: standin.Settings(), Seed: 1, Links: links, MostOpen: 100, MostHeld: 1 << 20})
 	require.NoError(t, err)
 	loaded := make(chan rules.LoadedEvent, 16)
@@ -76,24 +74,22 @@
 	go core.Run()
 	t.Cleanup(core.Stop)
 	core.News(standin.List(w))
+	return core, w, loaded
+}
+
+// An order that finds no room on this side says nothing of its worker: taken for a connection that failed, it left the
+// worker out of turn.
+func TestOrderWithoutRoomSaysNothingOfTheWorker(t *testing.T) {
+	links := standin.Links()
+	links.Connections = 0
+	core, w, loaded := ordering(t, links)
 	core.Post(func() { core.Order(standin.List(w).Entries[0].ID, "7f3a9c21e0b4d655", 0) })
 	assert.Equal(t, rules.Moot, (<-loaded).Status)
 }
 
 // An order begins within the time that the module's ration counts with, or not at all.
 func TestOrderCarriesTheTimeInWhichItMayBegin(t *testing.T) {
-	w := standin.NewWorker(t)
-	core, err := dispatch.New(dispatch.Config{Settings: standin.Settings(), Seed: 1, Links: standin.Links(), MostOpen: 100, MostHeld: 1 << 20})
-	require.NoError(t, err)
-	loaded := make(chan rules.LoadedEvent, 16)
-	core.Tap(func(e rules.Event) {
-		if l, ok := e.(rules.LoadedEvent); ok {
-			loaded <- l
-		}
-	})
-	go core.Run()
-	t.Cleanup(core.Stop)
-	core.News(standin.List(w))
+	core, w, loaded := ordering(t, standin.Links())
 	id := standin.List(w).Entries[0].ID
 	for within, status := range map[time.Duration]rules.Status{1: rules.Full, time.Minute: rules.OK} {
 		core.Post(func() { core.Order(id, "7f3a9c21e0b4d655", within) })
--- a/internal/worker/crossing_test.go
+++ b/internal/worker/crossing_test.go
@@ -123,19 +123,25 @@
 	assert.Equal(t, rules.Full, (<-ended).Status)
 }
 
+// cut has the reader meet the end of the connection while the writer is in the middle of a call's frame, which ends then.
+func (x *crossing) cut(between func(*Job), ends error) chan Result {
+	j, ended := x.call(Attempt{ID: 7})
+	written := make(chan bool)
+	go func() { x.conn.write(<-x.conn.out); close(written) }()
+	<-x.net.began
+	x.conn.end(io.EOF, nil)
+	between(j)
+	x.net.ends <- ends
+	<-written
+	return ended
+}
+
 // The reader meets the end of a connection while the writer is in the middle of a frame. How far that came only the
 // writer knows: in part, and the call goes elsewhere; whole, and it may have run. A reserva was lost by the guess.
 func TestEndThatCrossesAFrameLeavesItToItsWriter(t *testing.T) {
 	t.Run("written in part", func(t *testing.T) {
 		x := newCrossing(t, Config{})
-		_, ended := x.call(Attempt{ID: 7})
-		written := make(chan bool)
-		go func() { x.conn.write(<-x.conn.out); close(written) }()
-		<-x.net.began
-		x.conn.end(io.EOF, nil)
-		x.net.ends <- io.ErrClosedPipe
-		<-written
-		assert.Empty(t, ended)
+		assert.Empty(t, x.cut(func(*Job) {}, io.ErrClosedPipe))
 		c, err := x.next.Accept()
 		require.NoError(t, err)
 		defer c.Close()
@@ -144,14 +150,7 @@
 		assert.Equal(t, uint64(7), f.id)
 	})
 	t.Run("written whole", func(t *testing.T) {
-		x := newCrossing(t, Config{})
-		_, ended := x.call(Attempt{ID: 7})
-		written := make(chan bool)
-		go func() { x.conn.write(<-x.conn.out); close(written) }()
-		<-x.net.began
-		x.conn.end(io.EOF, nil)
-		x.net.ends <- nil
-		<-written
+		ended := newCrossing(t, Config{}).cut(func(*Job) {}, nil)
 		require.Len(t, ended, 1)
 		assert.Equal(t, rules.Reset, (<-ended).Status)
 	})
@@ -160,14 +159,7 @@
 // The same while its client gives it up: it ends once, by whoever came first, and goes nowhere else.
 func TestGivenUpWhileItsFrameIsCutIsNotMoved(t *testing.T) {
 	x := newCrossing(t, Config{})
-	j, ended := x.call(Attempt{ID: 7})
-	written := make(chan bool)
-	go func() { x.conn.write(<-x.conn.out); close(written) }()
-	<-x.net.began
-	x.conn.end(io.EOF, nil)
-	assert.True(t, x.link.GiveUp(j), "some of it was written")
-	x.net.ends <- io.ErrClosedPipe
-	<-written
+	ended := x.cut(func(j *Job) { assert.True(t, x.link.GiveUp(j), "some of it was written") }, io.ErrClosedPipe)
 	assert.Empty(t, ended)
 	assert.Empty(t, x.link.conns)
 }
