Bound the log lines of a board that fails and answers in turn

Seen by reading: Watcher.Run wrote a line at each change between failing and answering, up to ten a second with a board that alternates; now five of each kind and then one in 5 s, as for other lines that peers can cause. No behaviour changes.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -86,8 +86,8 @@
 // direct reaches the board without a proxy, whatever the environment says.
 var direct = &http.Client{Transport: &http.Transport{}}
 
-// unnamed is the log line of entries that name no worker: a board can repeat them at will.
-var unnamed = quiet.NewLine()
+// Log lines that a board can cause at will: entries that name no worker, and polls that fail and go well in turn.
+var unnamed, lost, back = quiet.NewLine(), quiet.NewLine(), quiet.NewLine()
 
 // Watcher holds the number of the last event and passes later ones on, each once and in order.
 type Watcher struct {
@@ -163,9 +163,9 @@
 		}
 		if (err != nil) != failing && ctx.Err() == nil {
 			if failing = err != nil; failing {
-				slog.Warn("board: poll failed, the list stays as it is", "err", err)
+				lost.Log(slog.LevelWarn, "board: poll failed, the list stays as it is", "err", err)
 			} else {
-				slog.Info("board: polls are answered again", "rev", w.rev)
+				back.Log(slog.LevelInfo, "board: polls are answered again", "rev", w.rev)
 			}
 		}
 		if err != nil {
