--- a/rules/rules.go
+++ b/rules/rules.go
@@ -320,8 +320,8 @@
 	return true
 }
 
-// earn counts a request for the ration of orders, at the time when it came, once a worker has taken it for one. Clients
-// send by hundreds what they take back at once, or what no worker knows: these earn no orders.
+// earn counts a request for the ration of orders, at the time when it came, once a worker has taken it for
+// one. Clients send by hundreds what they take back at once, or what no worker knows: these earn no orders.
 func (b *Balancer) earn(r *request) {
 	if r.earned || b.set.LoadWindow == 0 {
 		return
@@ -586,7 +586,7 @@
 		return
 	}
 	var limit, within time.Duration
-	for _, a := range r.attempts { // this one may wait for a connection: it must not begin once a repeat would run
+	for _, a := range r.attempts { // it may wait for a connection: by then a repeat would run
 		if left := a.at + r.class.KeyWindow - b.now; r.class.Effect == Keyed && (a.pending || a.maybe) &&
 			(within == 0 || left < within) {
 			within = left
