Hold a request taken back before any answer was heard against nobody

Ruled out: the late answer (the call had been told off), the link (the order's answer came).

A start with a client that leaves at once is such a moment on the platform. The new test is red without it.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -718,7 +718,7 @@
 	case ConnectFailed:
 		b.suspect(w)
 	case TimedOut, Cancelled: // a client that soon takes its request back says nothing of the worker
-		if b.now-w.heard > e.Took && e.Took >= sec(silentAfter*b.answer) {
+		if b.now-w.heard > e.Took && e.Took >= sec(silentAfter*b.answer) && (b.answer > 0 || e.Status == TimedOut) {
 			b.suspect(w)
 		}
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -601,6 +601,24 @@
 	}
 }
 
+// The same where no answer has come yet, as after a start: there is no time yet that the worker could be late against. It was
+// left out, and what waited there for a load was refused.
+func TestRequestTakenBackBeforeAnyAnswerSaysNothing(t *testing.T) {
+	for status, suspect := range map[Status]bool{Cancelled: false, TimedOut: true} {
+		s := testSettings()
+		s.Orders = false
+		f := newFleet(t, s, 1)
+		f.now = time.Second
+		f.list(1)
+		id := f.request("unsafe", "fn", time.Second)
+		f.to(f.now + 20*ms)
+		f.outcome(id, 0, status)
+		if got := f.b.workers["w00"].suspect; got != suspect {
+			t.Errorf("status %v: suspect %v", status, got)
+		}
+	}
+}
+
 // On a long day workers are replaced by others all the time: those that have left must not stay.
 func TestWorkersThatLeftAreForgotten(t *testing.T) {
 	f := newFleet(t, testSettings(), 1)
