--- a/cmd/dispatcher/drain.go
+++ b/cmd/dispatcher/drain.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"kitefall/internal/lifecycle"
+	"kitefall/internal/metrics"
 )
 
 const (
@@ -31,6 +32,7 @@
 	if s.invoke != nil {
 		err = s.invoke.close()
 	}
+	metrics.Log()
 	s.phases.Enter(lifecycle.Stopped)
 	return err
 }
--- a/cmd/dispatcher/server.go
+++ b/cmd/dispatcher/server.go
@@ -17,9 +17,13 @@
 	"kitefall/internal/dispatch"
 	"kitefall/internal/frontend/resp"
 	"kitefall/internal/lifecycle"
+	"kitefall/internal/metrics"
 	"kitefall/internal/worker"
 )
 
+// metricsInterval is the time between two lines of the log that show the counters.
+const metricsInterval = 30 * time.Second
+
 // server is the dispatcher as a network service: the core, what feeds it with endpoints, and its frontends. It serves
 // once, from newServer to the end of drain.
 type server struct {
@@ -75,10 +79,18 @@
 	if s.core, err = dispatch.New(coreConfig(conf)); err != nil {
 		return nil, err
 	}
+	go logMetrics() // runs until the end of the process
 	go s.core.Run() // ended by closing the invoke service, else by the end of the process
 	return s, nil
 }
 
+// logMetrics writes the counters into the log from time to time.
+func logMetrics() {
+	for range time.Tick(metricsInterval) {
+		metrics.Log()
+	}
+}
+
 // applyLimits makes the Go runtime keep to the configured limits of memory and cores.
 func applyLimits(conf *config.Config) {
 	debug.SetMemoryLimit(conf.MemoryLimit())
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -51,6 +51,11 @@
 	Failed                  // not served, or unknown; a retry may run the call a second time
 )
 
+var outcomeNames = [...]string{Served: "served", Rejected: "rejected", Failed: "failed"}
+
+// String returns the name of the outcome in logs and metrics.
+func (o Outcome) String() string { return outcomeNames[o] }
+
 // Answer is the final answer to a call.
 type Answer struct {
 	Outcome          Outcome
--- a/internal/dispatch/actions.go
+++ b/internal/dispatch/actions.go
@@ -22,8 +22,10 @@
 		return
 	}
 	for len(c.balancerEvents) > 0 {
+		now := time.Now()
+		c.clockSteps.Check(now)
 		// The balancer's time never goes back; the system's clock may.
-		c.balancerTime = max(c.balancerTime, time.Duration(time.Now().UnixNano()))
+		c.balancerTime = max(c.balancerTime, time.Duration(now.UnixNano()))
 		for _, action := range c.balancer.Handle(c.balancerTime, c.balancerEvents[0]) {
 			c.carryOut(action)
 		}
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -8,6 +8,7 @@
 	"kitefall/internal/balancer"
 	"kitefall/internal/call"
 	"kitefall/internal/logthrottle"
+	"kitefall/internal/metrics"
 	"kitefall/internal/worker"
 )
 
@@ -39,6 +40,7 @@
 	number   int // from 0, in the order of the balancer's Send actions
 	workerID balancer.WorkerID
 	state    attemptState
+	status   balancer.Status // how it ended; final once ended reports true
 	created  time.Time
 	deadline time.Time // the attempt times out then
 	startBy  time.Time // it must not start after this; zero: it may start until its deadline
@@ -65,6 +67,9 @@
 	return a.state == attemptInFlight || a.state == attemptMayHaveRun
 }
 
+// ended reports whether the attempt has reached a final state.
+func (a *attempt) ended() bool { return a.state == attemptNotRun || a.state == attemptMayHaveRun }
+
 // finalState returns the state of an attempt that ended with a status.
 func finalState(status balancer.Status) attemptState {
 	switch status {
@@ -177,6 +182,8 @@
 	if !a.setState(finalState(result.Status)) {
 		return
 	}
+	a.status = result.Status
+	metrics.Attempts.Add(result.Status.String())
 	r := a.request
 	r.activeAttempts--
 	c.timers.remove(a.timeout)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -17,6 +17,7 @@
 	"kitefall/internal/balancer"
 	"kitefall/internal/call"
 	"kitefall/internal/discovery"
+	"kitefall/internal/monotonic"
 	"kitefall/internal/worker"
 )
 
@@ -51,7 +52,8 @@
 	// All that follows belongs to the goroutine of Run.
 
 	balancer       requestBalancer
-	balancerTime   time.Duration    // latest time that the balancer was told
+	balancerTime   time.Duration // latest time that the balancer was told
+	clockSteps     *monotonic.StepDetector
 	balancerEvents []balancer.Event // to deliver; the first one is being handled
 	lastID         balancer.RequestID
 	requests       map[balancer.RequestID]*request
@@ -69,14 +71,15 @@
 		return nil, err
 	}
 	return &Core{
-		config:    config,
-		queue:     make(chan event, queueSize),
-		stop:      make(chan struct{}),
-		stopped:   make(chan struct{}),
-		balancer:  b,
-		requests:  map[balancer.RequestID]*request{},
-		endpoints: map[balancer.WorkerID]*endpoint{},
-		loads:     map[loadKey]*loadOrder{},
+		config:     config,
+		queue:      make(chan event, queueSize),
+		stop:       make(chan struct{}),
+		stopped:    make(chan struct{}),
+		balancer:   b,
+		clockSteps: monotonic.NewStepDetector(),
+		requests:   map[balancer.RequestID]*request{},
+		endpoints:  map[balancer.WorkerID]*endpoint{},
+		loads:      map[loadKey]*loadOrder{},
 	}, nil
 }
 
--- a/internal/dispatch/loads.go
+++ b/internal/dispatch/loads.go
@@ -1,12 +1,18 @@
 package dispatch
 
 import (
+	"log/slog"
 	"time"
 
 	"kitefall/internal/balancer"
+	"kitefall/internal/logthrottle"
+	"kitefall/internal/metrics"
 	"kitefall/internal/worker"
 )
 
+// loadNotDoneLog throttles the line of load orders that failed or were not carried out.
+var loadNotDoneLog = logthrottle.New()
+
 // loadKey identifies a load order: there is one at a time for a function at a worker.
 type loadKey struct {
 	worker   balancer.WorkerID
@@ -67,6 +73,11 @@
 	}
 	delete(c.loads, order.key)
 	c.timers.remove(order.timeout)
+	metrics.LoadOrders.Add(result.Status.String())
+	if result.Status != balancer.OK {
+		loadNotDoneLog.Log(slog.LevelInfo, "core: load order not done", "worker", string(order.key.worker),
+			"function", string(order.key.function), "status", result.Status.String())
+	}
 	c.notifyBalancer(balancer.LoadEndedEvent{
 		Worker:   order.key.worker,
 		Function: order.key.function,
--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -3,12 +3,18 @@
 import (
 	"fmt"
 	"log/slog"
+	"strings"
 	"time"
 
 	"kitefall/internal/balancer"
 	"kitefall/internal/call"
+	"kitefall/internal/logthrottle"
+	"kitefall/internal/metrics"
 )
 
+// notServedLog throttles the line of calls that were answered without being served: an overload causes any number.
+var notServedLog = logthrottle.New()
+
 // fallbackGraceShare is the share of the answer grace that the balancer has for its own answer after the deadline. The
 // rest is left for the core's answer in its place.
 const fallbackGraceShare = 0.5
@@ -28,6 +34,19 @@
 // logID returns the id of the call as the workers and the log write it.
 func (r *request) logID() string { return fmt.Sprintf("%016x", r.call.ID) }
 
+// attemptsText lists the attempts for the log: the worker and the status of each, or its state while it has not ended.
+func (r *request) attemptsText() string {
+	var parts []string
+	for _, a := range r.attempts {
+		end := "pending"
+		if a.ended() {
+			end = a.status.String()
+		}
+		parts = append(parts, string(a.workerID)+"="+end)
+	}
+	return strings.Join(parts, " ")
+}
+
 // mayHaveRun reports whether a worker may have run an attempt of the request, or may still be running one.
 func (r *request) mayHaveRun() bool {
 	for _, a := range r.attempts {
@@ -70,6 +89,11 @@
 	}
 	answer.MayHaveRun = r.mayHaveRun()
 	answer.DeadlineExceeded = !time.Now().Before(r.call.Deadline)
+	metrics.Answers.Add(answer.Outcome.String())
+	if answer.Outcome != call.Served {
+		notServedLog.Log(slog.LevelInfo, "core: call not served", "call", r.logID(), "outcome", answer.Outcome.String(),
+			"left", time.Until(r.call.Deadline).Round(time.Millisecond), "attempts", r.attemptsText())
+	}
 	c.close(r)
 	r.call.Done(answer)
 }
