Reproduce the broken load budget on real processes with a stepped clock, listed as red

Package wallstep builds the dispatcher with a changed copy of package time, so that its wall clock can be stepped while the monotonic clock runs true.

--- /dev/null
+++ b/internal/soak/client.go
@@ -0,0 +1,308 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Names of the classes in the settings of a fleet.
+const (
+	ClassIdempotent    = "consulta"
+	ClassNotIdempotent = "reserva"
+)
+
+const (
+	connsPerClient = 4
+	// giveUpAfter is how long after its time a request is still waited for.
+	giveUpAfter = time.Second
+	dialTimeout = time.Second
+)
+
+// Load says what clients send to one dispatcher.
+type Load struct {
+	Rate          float64 // requests a second
+	Functions     int     // that are called, by a Zipf distribution
+	FirstFunction int
+	MinWait       time.Duration // how long clients wait for the answer
+	MaxWait       time.Duration
+	CancelShare   float64 // part of the requests that the client cancels
+	CloseShare    float64 // part of the requests after which the client closes the connection
+}
+
+// client sends requests to one dispatcher and records what comes of them.
+type client struct {
+	fleet      *Fleet
+	dispatcher int
+	random     *rand.Rand
+
+	readers sync.WaitGroup // of the connections
+
+	mu       sync.Mutex // guards also the connections and the requests
+	load     Load
+	conns    [connsPerClient]*clientConn
+	requests []*Request
+}
+
+// recorded waits until all connections have ended and returns the requests.
+func (c *client) recorded() []*Request {
+	c.readers.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	copies := make([]*Request, 0, len(c.requests))
+	for _, r := range c.requests {
+		copies = append(copies, new(*r))
+	}
+	return copies
+}
+
+// setLoad changes what is sent from now on.
+func (c *client) setLoad(load Load) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.load = load
+}
+
+// run sends requests until stop is closed.
+func (c *client) run(stop <-chan struct{}) {
+	for {
+		c.mu.Lock()
+		load := c.load
+		c.mu.Unlock()
+		pause := time.Duration(c.random.ExpFloat64() / load.Rate * float64(time.Second))
+		if waitOr(stop, pause) {
+			return
+		}
+		if c.fleet.accepting(c.dispatcher) {
+			c.sendOne(load)
+		}
+	}
+}
+
+// sendOne sends one request on one of the connections.
+func (c *client) sendOne(load Load) {
+	conn := c.conn(c.random.IntN(connsPerClient))
+	if conn == nil {
+		return
+	}
+	class := ClassIdempotent
+	if c.random.Float64() < 0.3 {
+		class = ClassNotIdempotent
+	}
+	spread := load.MaxWait - load.MinWait
+	request := &Request{
+		ID:         c.random.Uint64(),
+		Dispatcher: c.dispatcher,
+		Run:        conn.run,
+		Class:      class,
+		Function:   functionName(load.FirstFunction + c.drawFunction(load.Functions)),
+		Wait:       load.MinWait + time.Duration(c.random.Float64()*float64(spread)),
+	}
+	c.mu.Lock()
+	c.requests = append(c.requests, request)
+	c.mu.Unlock()
+	tag := conn.send(request)
+	if tag == 0 {
+		return
+	}
+	draw := c.random.Float64()
+	leaveAfter := time.Duration(c.random.Float64() * float64(300*time.Millisecond))
+	switch {
+	case draw < load.CancelShare:
+		time.AfterFunc(leaveAfter, func() { conn.cancel(tag) })
+	case draw < load.CancelShare+load.CloseShare:
+		time.AfterFunc(leaveAfter, conn.closeByClient)
+	default:
+		time.AfterFunc(request.Wait+giveUpAfter, func() { conn.cancel(tag) })
+	}
+}
+
+// drawFunction draws the number of a function: a few are called often, most rarely.
+func (c *client) drawFunction(functions int) int {
+	return int(rand.NewZipf(c.random, 1.2, 3, uint64(functions-1)).Uint64())
+}
+
+// functionName returns the name of a function by its number.
+func functionName(number int) string { return fmt.Sprintf("%016x", 0x7f3a000000000001+uint64(number)) }
+
+// conn returns an open connection, a new one where the last has ended; nil if there is none.
+func (c *client) conn(index int) *clientConn {
+	c.mu.Lock()
+	existing := c.conns[index]
+	c.mu.Unlock()
+	if existing != nil && existing.isOpen() {
+		return existing
+	}
+	run := c.fleet.currentRun(c.dispatcher)
+	netConn, err := net.DialTimeout("tcp", c.fleet.dispatcherAddr(c.dispatcher), dialTimeout)
+	if err != nil {
+		return nil
+	}
+	conn := &clientConn{
+		client:  c,
+		netConn: netConn.(*net.TCPConn),
+		run:     run,
+		open:    map[int]*Request{},
+		all:     map[int]*Request{},
+	}
+	c.readers.Go(conn.read)
+	c.mu.Lock()
+	c.conns[index] = conn
+	c.mu.Unlock()
+	return conn
+}
+
+// clientConn is a client's connection to a dispatcher.
+type clientConn struct {
+	client  *client // whose mutex guards what follows
+	netConn *net.TCPConn
+	run     int // of the dispatcher
+	tag     int
+	open    map[int]*Request // requests that an answer is waited for, by tag
+	all     map[int]*Request
+	closed  bool
+}
+
+func (c *clientConn) isOpen() bool {
+	c.client.mu.Lock()
+	defer c.client.mu.Unlock()
+	return !c.closed
+}
+
+// send writes a request and returns its tag, or 0 where the connection has ended.
+func (c *clientConn) send(r *Request) int {
+	c.client.mu.Lock()
+	defer c.client.mu.Unlock()
+	if c.closed {
+		return 0
+	}
+	c.tag++
+	fields := fmt.Sprintf("id=%016x,wait=%d,key=%s,cost=40,spec=memory_mb:256;lanes:4;load_ms:60", r.ID,
+		r.Wait.Milliseconds(), r.Function)
+	r.Alone = len(c.open) == 0
+	c.open[c.tag] = r
+	c.all[c.tag] = r
+	if !c.writeLocked("CALL", strconv.Itoa(c.tag), r.Class, fields, "body") {
+		delete(c.open, c.tag) // not taken: its last byte was not written
+		return 0
+	}
+	r.Sent = Now()
+	return c.tag
+}
+
+// cancel tells the dispatcher that the client no longer waits, unless the answer has come.
+func (c *clientConn) cancel(tag int) {
+	c.client.mu.Lock()
+	defer c.client.mu.Unlock()
+	r := c.open[tag]
+	if r == nil || c.closed {
+		return
+	}
+	r.Left = Now()
+	delete(c.open, tag)
+	c.writeLocked("CANCEL", strconv.Itoa(tag))
+}
+
+// closeByClient closes the connection with all that is open on it.
+func (c *clientConn) closeByClient() {
+	c.client.mu.Lock()
+	defer c.client.mu.Unlock()
+	if c.closed {
+		return
+	}
+	for _, r := range c.open {
+		r.Left = Now()
+	}
+	c.open = map[int]*Request{}
+	c.closed = true
+	c.netConn.Close()
+}
+
+func (c *clientConn) writeLocked(arguments ...string) bool {
+	encoded := fmt.Sprintf("*%d\r\n", len(arguments))
+	for _, argument := range arguments {
+		encoded += fmt.Sprintf("$%d\r\n%s\r\n", len(argument), argument)
+	}
+	_, err := io.WriteString(c.netConn, encoded)
+	return err == nil
+}
+
+// read takes answers until the connection ends.
+func (c *clientConn) read() {
+	reader := bufio.NewReader(c.netConn)
+	for {
+		parts, err := readAnswer(reader)
+		if err != nil {
+			c.endedByDispatcher()
+			return
+		}
+		c.takeAnswer(parts)
+	}
+}
+
+func (c *clientConn) endedByDispatcher() {
+	c.client.mu.Lock()
+	defer c.client.mu.Unlock()
+	for _, r := range c.open {
+		r.ConnEnded = Now()
+	}
+	c.open = map[int]*Request{}
+	c.closed = true
+	c.netConn.Close()
+}
+
+// takeAnswer records an answer. The request stays known, so that a second answer is noticed.
+func (c *clientConn) takeAnswer(parts []string) {
+	c.client.mu.Lock()
+	defer c.client.mu.Unlock()
+	if len(parts) < 2 {
+		return
+	}
+	tag, _ := strconv.Atoi(parts[0])
+	r := c.all[tag]
+	if r == nil {
+		return
+	}
+	delete(c.open, tag)
+	r.Answers = append(r.Answers, Now())
+	r.Words = append(r.Words, parts[1])
+	r.WrongBody = parts[1] == "ok" && parts[len(parts)-1] != fmt.Sprintf("%016x", r.ID)
+}
+
+// readAnswer reads a RESP array of bulk strings.
+func readAnswer(reader *bufio.Reader) ([]string, error) {
+	count, err := readNumber(reader, '*')
+	if err != nil {
+		return nil, err
+	}
+	var parts []string
+	for range count {
+		length, err := readNumber(reader, '$')
+		if err != nil {
+			return nil, err
+		}
+		data := make([]byte, length+len("\r\n"))
+		if _, err := io.ReadFull(reader, data); err != nil {
+			return nil, err
+		}
+		parts = append(parts, strings.TrimSuffix(string(data), "\r\n"))
+	}
+	return parts, nil
+}
+
+func readNumber(reader *bufio.Reader, marker byte) (int, error) {
+	line, err := reader.ReadString('\n')
+	if err != nil {
+		return 0, err
+	}
+	if line[0] != marker {
+		return 0, fmt.Errorf("soak: answer begins with %q, want %q", line, marker)
+	}
+	return strconv.Atoi(strings.TrimSpace(line[1:]))
+}
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,127 @@
+package soak
+
+import (
+	"syscall"
+	"time"
+
+	"kitefall/internal/wallstep"
+)
+
+// count notes a fault that was injected.
+func (f *Fleet) count(kind FaultKind) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults[string(kind)]++
+}
+
+// Reload has a dispatcher follow the endpoint list at another address (SIGHUP).
+func (f *Fleet) Reload(number int) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := f.dispatchers[number]
+	d.board = (d.board + 1) % boardAddresses
+	if err := f.writeConfig(number, f.board.known(number)); err != nil {
+		return err
+	}
+	return d.cmd.Process.Signal(syscall.SIGHUP)
+}
+
+// terminateDispatcher sends SIGTERM. Clients go on sending for a moment.
+func (f *Fleet) terminateDispatcher(number int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := f.dispatchers[number]
+	if isClosed(d.exited) {
+		return
+	}
+	d.runs[len(d.runs)-1].Terminated = Now()
+	d.acceptUntil = Now() + acceptAfterTerm
+	d.cmd.Process.Signal(syscall.SIGTERM)
+}
+
+// awaitExit waits for the end of a dispatcher that was told to end, and kills it when its time is over.
+func (f *Fleet) awaitExit(number int) {
+	f.mu.Lock()
+	d := f.dispatchers[number]
+	exited := d.exited
+	f.mu.Unlock()
+	select {
+	case <-exited:
+	case <-time.After(stopTimeout):
+		f.killDispatcher(number)
+	}
+}
+
+func (f *Fleet) killDispatcher(number int) {
+	f.mu.Lock()
+	d := f.dispatchers[number]
+	exited := d.exited
+	if !isClosed(exited) {
+		d.runs[len(d.runs)-1].Killed = Now()
+		d.acceptUntil = 1 // long past
+		d.cmd.Process.Kill()
+	}
+	f.mu.Unlock()
+	<-exited
+}
+
+// RestartDispatcher ends a dispatcher, by SIGTERM or at once, and starts it again with a wall clock that takes the steps.
+func (f *Fleet) RestartDispatcher(number int, planned bool, steps []wallstep.Step) error {
+	if planned {
+		f.terminateDispatcher(number)
+		f.awaitExit(number)
+	} else {
+		f.killDispatcher(number)
+	}
+	if err := f.startDispatcher(number, steps); err != nil {
+		return err
+	}
+	return f.awaitDispatcher(number)
+}
+
+// CrashWorker kills a worker and starts it again after a time, cold. The endpoint list tells of its new start.
+func (f *Fleet) CrashWorker(number int, downFor time.Duration) error {
+	w := f.workers[number]
+	w.kill()
+	time.Sleep(downFor)
+	if err := w.start(); err != nil {
+		return err
+	}
+	f.board.add(w, stateActive, time.Now().UnixMilli())
+	return nil
+}
+
+// ReplaceWorker drains a worker, starts a spare in its place, and ends the drained one after a time.
+func (f *Fleet) ReplaceWorker(number, spare int, drainFor time.Duration) error {
+	old, next := f.workers[number], f.workers[spare]
+	f.board.add(old, stateLeaving, 0)
+	if err := next.start(); err != nil {
+		return err
+	}
+	f.board.add(next, stateActive, time.Now().UnixMilli())
+	time.Sleep(drainFor)
+	old.kill()
+	f.board.add(old, stateLeft, 0)
+	return nil
+}
+
+// StopWorker stops a worker's process for a time, its connections stay open and silent.
+func (f *Fleet) StopWorker(number int, length time.Duration) {
+	w := f.workers[number]
+	w.signal(syscall.SIGSTOP)
+	time.Sleep(length)
+	w.signal(syscall.SIGCONT)
+}
+
+// FlushWorkers unloads all functions of all workers, as when all are released anew.
+func (f *Fleet) FlushWorkers() {
+	for _, w := range f.workers {
+		w.signal(syscall.SIGUSR1)
+	}
+}
+
+// ResetWorker resets all connections to a worker.
+func (f *Fleet) ResetWorker(number int) { f.workers[number].signal(syscall.SIGUSR2) }
+
+// HangBoard has the endpoint list answer no polls for a time.
+func (f *Fleet) HangBoard(length time.Duration) { f.board.hang(length) }
--- /dev/null
+++ b/internal/soak/workerproc.go
@@ -0,0 +1,379 @@
+package soak
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// workerEnv holds the configuration of a worker's process.
+const workerEnv = "KITEFALL_SOAK_WORKER"
+
+// Frames of the worker protocol (source: worker protocol). They are written anew rather than taken from package worker, so
+// that a fault there does not cancel itself out.
+const (
+	headSize     = 16
+	checksumSize = 4
+	answerMark   = 193
+
+	codeCall   = 48
+	codeCancel = 49
+	codePing   = 50
+	codeLoad   = 52
+	codeUnload = 54
+	codeOK     = 64
+	codeMiss   = 66
+	codeFull   = 67
+	codeError  = 68
+	codePong   = 70
+)
+
+const maxFrameSize = 1 << 20
+
+var errBadFrame = errors.New("frame cannot be read")
+
+// WorkerConfig configures a worker's process.
+type WorkerConfig struct {
+	UID       string
+	Addrs     []string // one for each dispatcher
+	Record    string   // path of its record
+	Seed      uint64
+	Cores     int           // calls that run at a time
+	Queue     int           // calls that wait for a core at most; the others are rejected
+	Work      time.Duration // mean
+	LoadTime  time.Duration
+	KeepAlive time.Duration // an idle function is unloaded after this
+	ErrorRate float64       // part of the calls that fail
+}
+
+// WorkerMain runs a worker if the process was started as one, and does not return then. Otherwise it does nothing.
+// SIGUSR1 unloads all functions, SIGUSR2 resets all connections.
+func WorkerMain() {
+	text, ok := os.LookupEnv(workerEnv)
+	if !ok {
+		return
+	}
+	var config WorkerConfig
+	if err := json.Unmarshal([]byte(text), &config); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	if err := runWorker(config); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	os.Exit(0)
+}
+
+// loadedFunction is a function at a worker.
+type loadedFunction struct {
+	ready    chan struct{} // closed once it is loaded
+	lastUsed time.Duration
+}
+
+// workerProcess is the state of a worker's process.
+type workerProcess struct {
+	config WorkerConfig
+	cores  chan struct{}
+
+	mu        sync.Mutex
+	record    *json.Encoder
+	random    *rand.Rand
+	functions map[string]*loadedFunction
+	conns     map[*net.TCPConn]bool
+	waiting   int // calls that wait for a core
+}
+
+func runWorker(config WorkerConfig) error {
+	file, err := os.OpenFile(config.Record, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	w := &workerProcess{
+		config:    config,
+		cores:     make(chan struct{}, config.Cores),
+		record:    json.NewEncoder(file), // unbuffered: a kill loses nothing
+		random:    rand.New(rand.NewPCG(config.Seed, 0)),
+		functions: map[string]*loadedFunction{},
+		conns:     map[*net.TCPConn]bool{},
+	}
+	for dispatcher, addr := range config.Addrs {
+		listener, err := listenRetrying(addr)
+		if err != nil {
+			return err
+		}
+		go w.accept(listener, dispatcher)
+	}
+	w.note(WorkerEvent{Kind: WorkerStarted})
+	w.handleSignals()
+	return nil
+}
+
+// listenRetrying listens at an address, which a process that was killed may hold for another moment.
+func listenRetrying(addr string) (net.Listener, error) {
+	var listener net.Listener
+	var err error
+	for range 100 {
+		if listener, err = net.Listen("tcp", addr); err == nil {
+			return listener, nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return nil, err
+}
+
+// handleSignals unloads or resets on signals and returns on SIGTERM.
+func (w *workerProcess) handleSignals() {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGTERM)
+	for received := range signals {
+		w.mu.Lock()
+		switch received {
+		case syscall.SIGUSR1:
+			w.functions = map[string]*loadedFunction{}
+		case syscall.SIGUSR2:
+			for conn := range w.conns {
+				conn.SetLinger(0)
+				conn.Close()
+			}
+		case syscall.SIGTERM:
+			return
+		}
+		w.mu.Unlock()
+	}
+}
+
+// note writes an event to the record.
+func (w *workerProcess) note(e WorkerEvent) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e.At = Now()
+	e.Worker = w.config.UID
+	w.record.Encode(e)
+}
+
+func (w *workerProcess) accept(listener net.Listener, dispatcher int) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go w.serve(&workerConn{worker: w, conn: conn.(*net.TCPConn), dispatcher: dispatcher, gone: make(chan struct{})})
+	}
+}
+
+// workerConn is a dispatcher's connection to the worker.
+type workerConn struct {
+	worker     *workerProcess
+	conn       *net.TCPConn
+	dispatcher int
+	gone       chan struct{} // closed with the connection
+	cancelled  sync.Map      // ids of calls that were given up
+	writing    sync.Mutex
+}
+
+// workerFrame is a command of a dispatcher.
+type workerFrame struct {
+	code   byte
+	id     uint64
+	fields map[string]string
+}
+
+func (w *workerProcess) serve(c *workerConn) {
+	w.mu.Lock()
+	w.conns[c.conn] = true
+	w.mu.Unlock()
+	defer func() {
+		w.mu.Lock()
+		delete(w.conns, c.conn)
+		w.mu.Unlock()
+		close(c.gone)
+		c.conn.Close()
+	}()
+	for {
+		received, err := readCommand(c.conn)
+		if errors.Is(err, errBadFrame) {
+			w.note(WorkerEvent{Kind: FramesBroken, Dispatcher: c.dispatcher})
+		}
+		if err != nil {
+			return
+		}
+		c.handle(received)
+	}
+}
+
+func (c *workerConn) handle(f workerFrame) {
+	switch f.code {
+	case codeCall:
+		max, _ := strconv.ParseFloat(f.fields["max"], 64)
+		c.worker.note(WorkerEvent{Kind: CallArrived, Dispatcher: c.dispatcher, Call: f.id, Class: f.fields["profile"],
+			Function: f.fields["thing"], Max: time.Duration(max * float64(time.Millisecond))})
+		go c.runCall(f)
+	case codeCancel:
+		c.cancelled.Store(f.id, true)
+	case codePing:
+		c.answer(codePong, f.id, "", "")
+	case codeLoad:
+		c.worker.note(WorkerEvent{Kind: LoadArrived, Dispatcher: c.dispatcher, Function: f.fields["thing"]})
+		go c.load(f)
+	case codeUnload:
+		c.worker.unload(fmt.Sprintf("%016x", f.id))
+	}
+}
+
+// load carries out a load order.
+func (c *workerConn) load(f workerFrame) {
+	w := c.worker
+	w.mu.Lock()
+	loading := w.functions[f.fields["thing"]]
+	isNew := loading == nil
+	if isNew {
+		loading = &loadedFunction{ready: make(chan struct{}), lastUsed: Now()}
+		w.functions[f.fields["thing"]] = loading
+	}
+	w.mu.Unlock()
+	if isNew {
+		time.Sleep(w.config.LoadTime)
+		close(loading.ready)
+	}
+	<-loading.ready
+	c.answer(codeOK, f.id, "n=1", "")
+}
+
+func (w *workerProcess) unload(function string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.functions, function)
+}
+
+// use returns a function if it is loaded or being loaded; one that has been idle for too long is not.
+func (w *workerProcess) use(function string) *loadedFunction {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	loaded := w.functions[function]
+	if loaded == nil {
+		return nil
+	}
+	if Now()-loaded.lastUsed > w.config.KeepAlive {
+		delete(w.functions, function)
+		return nil
+	}
+	loaded.lastUsed = Now()
+	return loaded
+}
+
+// runCall answers a call, unless it is given up before it runs.
+func (c *workerConn) runCall(f workerFrame) {
+	w := c.worker
+	loaded := w.use(f.fields["thing"])
+	if loaded == nil {
+		c.answer(codeMiss, f.id, "", "")
+		return
+	}
+	if !w.enterQueue() {
+		c.answer(codeFull, f.id, "", "")
+		return
+	}
+	select {
+	case <-loaded.ready:
+	case <-c.gone:
+		w.leaveQueue()
+		return
+	}
+	select {
+	case w.cores <- struct{}{}:
+		w.leaveQueue()
+	case <-c.gone:
+		w.leaveQueue()
+		return
+	}
+	defer func() { <-w.cores }()
+	if _, cancelled := c.cancelled.Load(f.id); cancelled {
+		return
+	}
+	w.note(WorkerEvent{Kind: CallRan, Dispatcher: c.dispatcher, Call: f.id, Class: f.fields["profile"]})
+	work, fails := w.draw()
+	time.Sleep(work)
+	if fails {
+		c.answer(codeError, f.id, "", "")
+		return
+	}
+	c.answer(codeOK, f.id, "remark=hot", fmt.Sprintf("%016x", f.id))
+}
+
+// enterQueue reports whether there is room for a call that waits for a core.
+func (w *workerProcess) enterQueue() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.waiting >= w.config.Queue {
+		return false
+	}
+	w.waiting++
+	return true
+}
+
+func (w *workerProcess) leaveQueue() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.waiting--
+}
+
+// draw returns how long a call runs and whether it fails.
+func (w *workerProcess) draw() (work time.Duration, fails bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Duration(w.random.ExpFloat64() * float64(w.config.Work)), w.random.Float64() < w.config.ErrorRate
+}
+
+// answer writes an answer. Errors are ignored: the dispatcher may be gone.
+func (c *workerConn) answer(code byte, id uint64, fields, body string) {
+	encoded := []byte{answerMark, code}
+	encoded = binary.BigEndian.AppendUint16(encoded, uint16(len(fields)))
+	encoded = binary.BigEndian.AppendUint32(encoded, uint32(len(body)))
+	encoded = binary.BigEndian.AppendUint64(encoded, id)
+	encoded = append(encoded, fields...)
+	encoded = append(encoded, body...)
+	encoded = binary.BigEndian.AppendUint32(encoded, crc32.ChecksumIEEE(encoded[headSize:]))
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	c.conn.Write(encoded)
+}
+
+// readCommand reads a frame of the dispatcher.
+func readCommand(conn net.Conn) (workerFrame, error) {
+	head := make([]byte, headSize)
+	if _, err := io.ReadFull(conn, head); err != nil {
+		return workerFrame{}, err
+	}
+	fieldsLength := int(binary.BigEndian.Uint16(head[2:]))
+	bodyLength := int(binary.BigEndian.Uint32(head[4:]))
+	if bodyLength > maxFrameSize {
+		return workerFrame{}, errBadFrame
+	}
+	rest := make([]byte, fieldsLength+bodyLength+checksumSize)
+	if _, err := io.ReadFull(conn, rest); err != nil {
+		return workerFrame{}, err
+	}
+	content := rest[:fieldsLength+bodyLength]
+	if binary.BigEndian.Uint32(rest[len(content):]) != crc32.ChecksumIEEE(content) {
+		return workerFrame{}, errBadFrame
+	}
+	f := workerFrame{code: head[1], id: binary.BigEndian.Uint64(head[8:]), fields: map[string]string{}}
+	for pair := range strings.SplitSeq(string(rest[:fieldsLength]), ",") {
+		name, value, _ := strings.Cut(pair, "=")
+		f.fields[name] = value
+	}
+	return f, nil
+}
