Run the balancer on the monotonic clock, and tell workers' ages without the wall clock

Cause: Core.notifyBalancer told the balancer the wall clock's time, kept from going back. A step back froze all windows until the wall clock had caught up, so that requests of any age earned load orders; a step forward emptied them, so that the orders of the last 10 s were forgotten.

Change: the balancer's time is the time since the core was made (dispatch/clock.go). Workers' starts (boot_ms) are told by the list's clock; they were compared with this machine's wall clock, in the balancer and in the pools. They are now translated by what the list itself tells (balancer/starttimes.go): never taken for earlier than they were, also in a process that starts with a wrong clock.

The width check stays.

--- a/internal/discovery/protocol.go
+++ b/internal/discovery/protocol.go
@@ -50,10 +50,12 @@
 	BootMS       int64    `json:"boot_ms"` // when it started, in Unix milliseconds; 0: long ago
 }
 
-// Endpoint is a worker as the balancer knows it, and the address it listens at.
+// Endpoint is a worker as the balancer knows it, and the address it listens at. Worker.Started is not set: the list tells
+// the start by a clock of its own.
 type Endpoint struct {
 	balancer.Worker
-	Addr string // host:port; may be empty in an update of scope balancer.ScopeDelta
+	Addr      string        // host:port; may be empty in an update of scope balancer.ScopeDelta
+	ToldStart time.Duration // since 1970 by the list's clock, which may differ from this machine's by any time; 0: long ago
 }
 
 // Update is one event of the endpoint list, translated.
@@ -87,18 +89,17 @@
 // translate returns the target in the balancer's terms.
 func (t *Target) translate() Endpoint {
 	worker := balancer.Worker{
-		ID:      balancer.WorkerID(t.UID),
-		Kind:    t.Model,
-		Zone:    t.Zone,
-		Cell:    t.Group,
-		Weight:  defaultWeight,
-		Started: time.Duration(t.BootMS) * time.Millisecond,
-		State:   workerState(t.State),
+		ID:     balancer.WorkerID(t.UID),
+		Kind:   t.Model,
+		Zone:   t.Zone,
+		Cell:   t.Group,
+		Weight: defaultWeight,
+		State:  workerState(t.State),
 	}
 	if t.CapacityHint != nil {
 		worker.Weight = *t.CapacityHint
 	}
-	return Endpoint{Worker: worker, Addr: t.Endpoint}
+	return Endpoint{Worker: worker, Addr: t.Endpoint, ToldStart: time.Duration(t.BootMS) * time.Millisecond}
 }
 
 func workerState(state string) balancer.WorkerState {
--- a/internal/dispatch/actions.go
+++ b/internal/dispatch/actions.go
@@ -24,9 +24,7 @@
 	for len(c.balancerEvents) > 0 {
 		now := time.Now()
 		c.clockSteps.Check(now)
-		// The balancer's time never goes back; the system's clock may.
-		c.balancerTime = max(c.balancerTime, time.Duration(now.UnixNano()))
-		for _, action := range c.balancer.Handle(c.balancerTime, c.balancerEvents[0]) {
+		for _, action := range c.balancer.Handle(c.clock.balancerTime(now), c.balancerEvents[0]) {
 			c.carryOut(action)
 		}
 		c.balancerEvents = c.balancerEvents[1:]
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -53,11 +53,13 @@
 
 	balancer       requestBalancer
 	balancerTime   time.Duration // latest time that the balancer was told
+	clock          clock
 	clockSteps     *monotonic.StepDetector
 	balancerEvents []balancer.Event // to deliver; the first one is being handled
 	lastID         balancer.RequestID
 	requests       map[balancer.RequestID]*request
 	endpoints      map[balancer.WorkerID]*endpoint
+	startTimes     *balancer.StartTimes
 	loads          map[loadKey]*loadOrder
 	timers         timerQueue
 }
@@ -76,6 +78,8 @@
 		stop:       make(chan struct{}),
 		stopped:    make(chan struct{}),
 		balancer:   b,
+		clock:      newClock(),
+		startTimes: balancer.NewStartTimes(),
 		clockSteps: monotonic.NewStepDetector(),
 		requests:   map[balancer.RequestID]*request{},
 		endpoints:  map[balancer.WorkerID]*endpoint{},
--- a/internal/dispatch/endpoints.go
+++ b/internal/dispatch/endpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"time"
 
 	"kitefall/internal/balancer"
 	"kitefall/internal/discovery"
@@ -19,7 +20,12 @@
 func (c *Core) updateEndpoints(update discovery.Update) {
 	listed := map[balancer.WorkerID]bool{}
 	workers := make([]balancer.Worker, 0, len(update.Endpoints))
+	now := c.clock.balancerTime(time.Now())
 	for _, entry := range update.Endpoints {
+		c.startTimes.Observe(now, entry.ToldStart)
+	}
+	for _, entry := range update.Endpoints {
+		entry.Started = c.startTimes.Translate(entry.ID, entry.ToldStart)
 		listed[entry.ID] = true
 		workers = append(workers, entry.Worker)
 		c.updateEndpoint(entry)
@@ -38,7 +44,7 @@
 	e := c.endpointAt(entry.ID, entry.Addr)
 	e.removed = entry.State == balancer.Removed
 	if entry.State == balancer.Ready {
-		e.pool.MarkReady(entry.Started)
+		e.pool.MarkReady(c.clock.at(entry.Started))
 	} else {
 		e.pool.MarkUnavailable(e.removed)
 	}
@@ -74,6 +80,7 @@
 func (c *Core) deleteRemovedEndpoints() {
 	for id, e := range c.endpoints {
 		if e.removed && e.pool.Idle() {
+			c.startTimes.Forget(id)
 			delete(c.endpoints, id)
 		}
 	}
--- a/internal/worker/conn_test.go
+++ b/internal/worker/conn_test.go
@@ -110,9 +110,9 @@
 // A worker that was lost with its machine never closed its connections. An update that tells of its restart ends their use.
 func TestConnectionsFromBeforeARestartAreNotUsed(t *testing.T) {
 	f := newPoolFixture(t, time.Minute)
-	f.pool.MarkReady(time.Duration(f.conn.createdAt.Add(-time.Second).UnixNano()))
+	f.pool.MarkReady(f.conn.createdAt.Add(-time.Second))
 	assert.Len(t, f.pool.conns, 1, "it was created after that start")
-	f.pool.MarkReady(time.Duration(f.conn.createdAt.Add(time.Second).UnixNano()))
+	f.pool.MarkReady(f.conn.createdAt.Add(time.Second))
 	require.Empty(t, f.pool.conns)
 	<-f.netConn.closed
 	f.call(Attempt{ID: 1})
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -115,14 +115,14 @@
 	p.closeIdleLocked(time.Now())
 }
 
-// MarkReady notes that the worker takes calls, and when it last started, in Unix time; 0: long ago. Connections made
-// before that lead nowhere: a machine that was lost never closed them.
-func (p *Pool) MarkReady(started time.Duration) {
+// MarkReady notes that the worker takes calls, and when it last started, as a time with a monotonic reading. Connections
+// made before that lead nowhere: a machine that was lost never closed them.
+func (p *Pool) MarkReady(started time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.membership = memberReady
 	for _, c := range p.conns {
-		if c.createdAt.UnixNano() < started.Nanoseconds() {
+		if c.createdAt.Before(started) {
 			c.advanceLocked(connStale)
 		}
 	}
--- a/internal/worker/pool_test.go
+++ b/internal/worker/pool_test.go
@@ -62,7 +62,7 @@
 	_, err := pool.Load(testFunction, 1, fakes.Deadline(), fakes.Deadline(), func(r worker.Result) { loaded <- r })
 	require.NoError(t, err)
 	assert.Equal(t, balancer.Rejected, (<-loaded).Status)
-	pool.MarkReady(0)
+	pool.MarkReady(time.Time{})
 	_, rejected := call(t, pool, 3, fakes.Deadline())
 	received := w.Next()
 	assert.Equal(t, uint64(3), received.ID, "the others were written")
