Keep the times of invocations apart from the wall clock, also over a restart

Change: requests bear times of the executor's clock; Retry-After is a span; purge is given an age, which the store's clock judges; on one boot of the machine the clock of a run goes on from the last one by the uptime.

--- a/cmd/dispatcher/invoke.go
+++ b/cmd/dispatcher/invoke.go
@@ -23,7 +23,7 @@
 	identityTimeout = 30 * time.Second
 	// storeLockTimeout is how long another process may hold the lock of the invocation store.
 	storeLockTimeout = 5 * time.Second
-	// maxClockLead is how far the clock of the last run may be ahead before it is logged.
+	// maxClockLead is how far the times of the last run may lie from the wall clock before it is logged.
 	maxClockLead = time.Minute
 	// invokeGCPercent replaces the garbage collector's default of 100 while the invoke API is on.
 	invokeGCPercent = 50
@@ -55,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if s.control, err = control.Listen(invokeConfig.Control, control.ForStore(invocations, s.executor.Redrive)); err != nil {
+	if s.control, err = control.Listen(invokeConfig.Control, control.ForStore(invocations, s.executor.Clock(), s.executor.Redrive)); err != nil {
 		return nil, err
 	}
 	listener, err := net.Listen("tcp", invokeConfig.Listen)
@@ -81,11 +81,10 @@
 
 // startExecutor opens the store and has the executor take up the invocations that the last run left open.
 func (s *invokeService) startExecutor(invokeConfig *invoke.Config) (*store.Store, error) {
-	invocations, latest, err := openStore(invokeConfig)
+	invocations, clock, err := openStore(invokeConfig)
 	if err != nil {
 		return nil, err
 	}
-	clock := monotonic.Start(latest)
 	s.executor, err = executor.New(invocations, s.core, invokeConfig, invokeConfig.SchedulerConfig(), clock)
 	if err != nil {
 		return nil, err
@@ -96,25 +95,25 @@
 	return invocations, s.executor.Recover()
 }
 
-// openStore opens and verifies the invocation store. It also returns the latest time that the store has on record, from
-// which the clock of this run goes on.
-func openStore(invokeConfig *invoke.Config) (*store.Store, time.Time, error) {
+// openStore opens and verifies the invocation store. It also returns the clock of the store's times.
+func openStore(invokeConfig *invoke.Config) (*store.Store, *monotonic.Clock, error) {
 	options := invokeConfig.StoreOptions()
 	options.Durable.LockDeadline = time.Now().Add(storeLockTimeout)
 	options.Durable.VerifyOnOpen = true
 	invocations, err := store.Open(invokeConfig.Store, options)
 	if err != nil {
-		return nil, time.Time{}, err
+		return nil, nil, err
 	}
-	latest, err := invocations.AdvanceClock(time.Now())
+	wall := time.Now()
+	clock, err := invocations.StartClock(wall, monotonic.ReadUptime())
 	if err != nil {
-		return nil, time.Time{}, err
+		return nil, nil, err
 	}
-	if lead := time.Until(latest); lead > maxClockLead {
-		slog.Warn("tickets: the last run's clock was ahead of this one's; times go on from there",
+	if lead := clock.Now().Sub(wall.Round(0)); lead.Abs() > maxClockLead {
+		slog.Warn("tickets: the wall clock was set since the last run; times go on from those of that run",
 			"ahead", lead.Round(time.Second))
 	}
-	return invocations, latest, nil
+	return invocations, clock, nil
 }
 
 // drain rejects new requests from now on. Without it a busy invoke API would never run out of calls in flight.
--- a/cmd/dispatcher/tickets_deadletter.go
+++ b/cmd/dispatcher/tickets_deadletter.go
@@ -53,7 +53,7 @@
 			if all == namesTickets {
 				return fmt.Errorf("%w: name tickets, or say --all", errUsage)
 			}
-			purged, err := invocations.Purge(args, time.Now().Add(-minAge))
+			purged, err := invocations.Purge(args, minAge)
 			if err != nil {
 				return err
 			}
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -92,8 +92,8 @@
 	return c.callForOne(operationRedrive, request{ID: id, Confirmed: confirmed, Reason: reason})
 }
 
-func (c *client) Purge(ids []string, completedBefore time.Time) (int, error) {
-	resp, err := c.call(operationPurge, request{IDs: ids, CompletedBefore: completedBefore})
+func (c *client) Purge(ids []string, minAge time.Duration) (int, error) {
+	resp, err := c.call(operationPurge, request{IDs: ids, MinAge: minAge})
 	return resp.Count, err
 }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -19,8 +19,9 @@
 	// Redrive submits a dead letter's request again and returns the new invocation. One that may have run and is not
 	// idempotent has to be confirmed: the operator has found out that it did not run, and the reason says how.
 	Redrive(id string, confirmed bool, reason string) (Invocation, error)
-	// Purge removes dead letters that completed before the given time, those named or all, and returns their number.
-	Purge(ids []string, completedBefore time.Time) (int, error)
+	// Purge removes dead letters that completed at least so long ago, those named or all, and returns their number. The
+	// age is by the clock of the store's times, not by that of the caller.
+	Purge(ids []string, minAge time.Duration) (int, error)
 	// Snapshot writes a copy of the store to a new file. The path has to be absolute.
 	Snapshot(path string) error
 	// Verify reads and checks the whole store and returns the number of its invocations.
--- a/internal/control/operations.go
+++ b/internal/control/operations.go
@@ -2,12 +2,14 @@
 
 import (
 	"crypto/rand"
+	"errors"
 	"fmt"
 	"os"
 	"time"
 
 	"kitefall/internal/invocation"
 	"kitefall/internal/invocation/store"
+	"kitefall/internal/monotonic"
 )
 
 // RedriveFunc submits a dead letter's request again, as Operations.Redrive does.
@@ -25,23 +27,31 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	return ForStore(s, nil), s.Close, nil
+	clock := monotonic.Start(time.Now()) // nothing that only reads needs the store's own
+	if !readOnly {
+		if clock, err = s.StartClock(time.Now(), monotonic.ReadUptime()); err != nil {
+			return nil, nil, errors.Join(err, s.Close())
+		}
+	}
+	return ForStore(s, clock, nil), s.Close, nil
 }
 
-// ForStore returns the operations on an open store, which stays the caller's to close. A running dispatcher passes its
-// executor's redrive, as the executor has to learn of the new invocation; nil redrives in the store alone.
-func ForStore(s *store.Store, redrive RedriveFunc) Operations {
+// ForStore returns the operations on an open store, which stays the caller's to close; clock is that of the store's times.
+// A running dispatcher passes its executor's clock and redrive, as the executor has to learn of the new invocation; nil
+// redrives in the store alone.
+func ForStore(s *store.Store, clock *monotonic.Clock, redrive RedriveFunc) Operations {
 	if redrive == nil {
 		redrive = func(id string, confirmed bool, reason string) (*invocation.Invocation, error) {
-			return s.Redrive(id, rand.Text(), confirmed, reason, time.Now())
+			return s.Redrive(id, rand.Text(), confirmed, reason, clock.Now())
 		}
 	}
-	return &storeOperations{store: s, redrive: redrive}
+	return &storeOperations{store: s, clock: clock, redrive: redrive}
 }
 
 // storeOperations are the operations on an open store.
 type storeOperations struct {
 	store   *store.Store
+	clock   *monotonic.Clock
 	redrive RedriveFunc
 }
 
@@ -70,8 +80,8 @@
 	return newInvocation(created), nil
 }
 
-func (o *storeOperations) Purge(ids []string, completedBefore time.Time) (int, error) {
-	return o.store.Purge(ids, completedBefore, time.Now())
+func (o *storeOperations) Purge(ids []string, minAge time.Duration) (int, error) {
+	return o.store.Purge(ids, minAge, o.clock.Now())
 }
 
 func (o *storeOperations) Snapshot(path string) error { return o.store.Snapshot(path) }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -118,7 +118,7 @@
 		return response{Invocations: []Invocation{created}}, err
 	},
 	operationPurge: func(operations Operations, req request) (response, error) {
-		count, err := operations.Purge(req.IDs, req.CompletedBefore)
+		count, err := operations.Purge(req.IDs, req.MinAge)
 		return response{Count: count}, err
 	},
 	operationSnapshot: func(operations Operations, req request) (response, error) {
--- a/internal/control/wire.go
+++ b/internal/control/wire.go
@@ -28,13 +28,13 @@
 
 // request holds the parameters of any operation.
 type request struct {
-	Filter          store.Filter `json:"filter,omitzero"`
-	ID              string       `json:"id,omitempty"`
-	IDs             []string     `json:"ids,omitempty"`
-	Confirmed       bool         `json:"sure,omitempty"`
-	Reason          string       `json:"reason,omitempty"`
-	CompletedBefore time.Time    `json:"before,omitzero"`
-	SnapshotPath    string       `json:"to,omitempty"`
+	Filter       store.Filter  `json:"filter,omitzero"`
+	ID           string        `json:"id,omitempty"`
+	IDs          []string      `json:"ids,omitempty"`
+	Confirmed    bool          `json:"sure,omitempty"`
+	Reason       string        `json:"reason,omitempty"`
+	MinAge       time.Duration `json:"min_age,omitempty"` // nanoseconds
+	SnapshotPath string        `json:"to,omitempty"`
 }
 
 // response holds the result of any operation, or its error.
--- a/internal/frontend/invoke/headers.go
+++ b/internal/frontend/invoke/headers.go
@@ -77,17 +77,17 @@
 	return preferences
 }
 
-// waitDeadline returns until when the client prefers to wait for an outcome, within the operator's bound; now if it
-// does not say.
-func (s *Server) waitDeadline(preferences map[string]string, now time.Time) (time.Time, error) {
+// preferredWait returns how long the client prefers to wait for an outcome, within the operator's bound; 0 if it does not
+// say.
+func (s *Server) preferredWait(preferences map[string]string) (time.Duration, error) {
 	text, ok := preferences[preferWait]
 	if !ok {
-		return now, nil
+		return 0, nil
 	}
 	seconds, err := strconv.Atoi(text)
 	if err != nil || seconds < 0 {
-		return now, badRequest("Prefer: wait is a whole number of seconds")
+		return 0, badRequest("Prefer: wait is a whole number of seconds")
 	}
 	wait := time.Duration(min(seconds, maxSeconds)) * time.Second
-	return now.Add(min(wait, s.config.MaxWait)), nil
+	return min(wait, s.config.MaxWait), nil
 }
--- a/internal/frontend/invoke/poll.go
+++ b/internal/frontend/invoke/poll.go
@@ -10,11 +10,12 @@
 
 // handlePoll answers with the outcome of an invocation, or that it is pending.
 func (s *Server) handlePoll(w http.ResponseWriter, r *http.Request, tenant string) error {
-	waitUntil, err := s.waitDeadline(parsePreferences(r.Header), time.Now())
+	begin := time.Now()
+	wait, err := s.preferredWait(parsePreferences(r.Header))
 	if err != nil {
 		return err
 	}
-	return s.awaitAndWriteView(w, r, waitUntil, tenant, r.PathValue(invocationParameter))
+	return s.awaitAndWriteView(w, r, begin.Add(wait), tenant, r.PathValue(invocationParameter))
 }
 
 // handleCancel cancels an invocation. If its outcome came first, that stays and is the answer.
--- a/internal/frontend/invoke/problem.go
+++ b/internal/frontend/invoke/problem.go
@@ -32,7 +32,7 @@
 	MayHaveRun bool   `json:"may_have_run"`   // the function may have run, or run still
 	RedrivenAs string `json:"heir,omitempty"` // the invocation that the operators have started in place of this one
 
-	retryAt time.Time // sent as Retry-After; zero: not sent
+	retryAfter time.Duration // sent as Retry-After; 0: not sent
 }
 
 func (p *problem) Error() string {
@@ -51,9 +51,10 @@
 	return p
 }
 
-func (p *problem) withRetryAt(retryAt time.Time) *problem {
+// withRetryAfter makes the problem retryable after a time, 1 s at least.
+func (p *problem) withRetryAfter(retryAfter time.Duration) *problem {
 	p.Retryable = true
-	p.retryAt = retryAt
+	p.retryAfter = max(retryAfter, time.Second)
 	return p
 }
 
@@ -82,18 +83,18 @@
 	return newProblem(http.StatusRequestEntityTooLarge, "too-large", title)
 }
 
-func rejected(retryAt time.Time) *problem {
+func rejected(retryAfter time.Duration) *problem {
 	return newProblem(http.StatusServiceUnavailable, "refused", "The call was refused; trying again does no harm").
-		withRetryAt(retryAt)
+		withRetryAfter(retryAfter)
 }
 
 // write answers with the problem.
 func (p *problem) write(w http.ResponseWriter) {
 	header := w.Header()
 	header.Set("Content-Type", "application/problem+json")
-	if !p.retryAt.IsZero() {
-		seconds := math.Ceil(time.Until(p.retryAt).Seconds())
-		header.Set("Retry-After", strconv.Itoa(int(max(1, seconds))))
+	if p.retryAfter > 0 {
+		seconds := math.Ceil(p.retryAfter.Seconds())
+		header.Set("Retry-After", strconv.Itoa(int(seconds)))
 	}
 	w.WriteHeader(p.Status)
 	json.NewEncoder(w).Encode(p)
@@ -112,18 +113,18 @@
 	case errors.Is(err, invocation.ErrKeyReused):
 		return newProblem(http.StatusUnprocessableEntity, "key-reused", "The Idempotency-Key belongs to another request")
 	case errors.Is(err, invocation.ErrStoreFull):
-		return rejected(time.Now().Add(quotaRetryAfter)).withDetail("too many tickets are kept")
+		return rejected(quotaRetryAfter).withDetail("too many tickets are kept")
 	case errors.Is(err, invocation.ErrQuotaExceeded):
-		return rejected(time.Now().Add(quotaRetryAfter)).withDetail("this tenant has too many tickets, or too large ones")
+		return rejected(quotaRetryAfter).withDetail("this tenant has too many tickets, or too large ones")
 	default: // the store does not work: no invocation was accepted that it does not hold
 		return newProblem(http.StatusServiceUnavailable, "storage", "Calls cannot be put on record at present").
-			withRetryAt(time.Now().Add(storageRetryAfter))
+			withRetryAfter(storageRetryAfter)
 	}
 }
 
-// problemForOutcome returns the problem document for an invocation that was not served.
-func problemForOutcome(view executor.View, idempotent bool) *problem {
-	p := outcomeProblem(view, idempotent)
+// problemForOutcome returns the problem document for an invocation that was not served; now is by the executor's clock.
+func problemForOutcome(view executor.View, idempotent bool, now time.Time) *problem {
+	p := outcomeProblem(view, idempotent, now)
 	p.MayHaveRun = view.MayHaveRun
 	if view.Durable {
 		p.Instance = invocationPath(view.ID)
@@ -134,11 +135,11 @@
 	return p
 }
 
-func outcomeProblem(view executor.View, idempotent bool) *problem {
+func outcomeProblem(view executor.View, idempotent bool, now time.Time) *problem {
 	var p *problem
 	switch {
 	case view.Outcome == invocation.OutcomeRejected:
-		return rejected(view.RetryAt)
+		return rejected(view.RetryAt.Sub(now))
 	case view.Outcome == invocation.OutcomeDeadlineExceeded:
 		p = newProblem(http.StatusGatewayTimeout, "deadline", "The deadline came before the answer")
 		p.Retryable = idempotent || !view.MayHaveRun
--- a/internal/frontend/invoke/reply.go
+++ b/internal/frontend/invoke/reply.go
@@ -52,7 +52,7 @@
 		w.Header().Set("Content-Location", invocationPath(view.ID))
 	}
 	if view.Outcome != invocation.OutcomeServed {
-		return problemForOutcome(view, function != nil && function.idempotent)
+		return problemForOutcome(view, function != nil && function.idempotent, s.executor.Clock().Now())
 	}
 	if function != nil {
 		w.Header().Set("Content-Type", function.ContentType)
--- a/internal/frontend/invoke/request.go
+++ b/internal/frontend/invoke/request.go
@@ -18,7 +18,7 @@
 // parseRequest reads and validates a request to invoke a function. What the workers need to know comes from the catalog
 // alone. The error is a *problem.
 func (s *Server) parseRequest(w http.ResponseWriter, r *http.Request, tenant string, deferred bool,
-	now time.Time) (invocation.Request, error) {
+) (invocation.Request, error) {
 	name := r.PathValue(functionParameter)
 	function := s.config.Functions[name]
 	if function == nil {
@@ -32,10 +32,11 @@
 		Deferred:   deferred,
 		RunTimeout: function.MaxDeadline,
 	}
+	now := s.executor.Clock().Now() // the times of a request are compared with those of the executor
 	if err := parseHeaders(r.Header, function, &request, now); err != nil {
 		return invocation.Request{}, err
 	}
-	body, err := readBody(w, r, function.MaxBody, now)
+	body, err := readBody(w, r, function.MaxBody)
 	if err != nil {
 		return invocation.Request{}, err
 	}
@@ -114,10 +115,10 @@
 	return now.Add(delay), nil
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, maxBytes int64, now time.Time) ([]byte, error) {
+func readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, error) {
 	// The read deadline is for the body alone: left in force it would end the wait for the outcome too.
 	controller := http.NewResponseController(w)
-	controller.SetReadDeadline(now.Add(readTimeout))
+	controller.SetReadDeadline(time.Now().Add(readTimeout))
 	defer controller.SetReadDeadline(time.Time{})
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
 	var tooLarge *http.MaxBytesError
--- a/internal/frontend/invoke/routes.go
+++ b/internal/frontend/invoke/routes.go
@@ -56,7 +56,7 @@
 			return
 		}
 		if !s.acquireSlot() {
-			rejected(time.Now().Add(rejectionRetryAfter)).write(w)
+			rejected(rejectionRetryAfter).write(w)
 			return
 		}
 		defer s.releaseSlot()
--- a/internal/frontend/resp/trackedconn.go
+++ b/internal/frontend/resp/trackedconn.go
@@ -10,10 +10,11 @@
 // of its server's connections until it is closed.
 type trackedConn struct {
 	net.Conn
-	server       *Server
-	acceptedAt   time.Time
-	validator    requestValidator // used by the goroutine that reads, alone
-	requestBegan atomic.Int64     // Unix nanoseconds of the first byte of an incomplete request; 0: there is none
+	server     *Server
+	acceptedAt time.Time
+	validator  requestValidator // used by the goroutine that reads, alone
+	// requestBegan is when the first byte of an incomplete request came, as nanoseconds since acceptedAt; 0: there is none.
+	requestBegan atomic.Int64
 
 	client *clientConn // from the first request on; guarded by server.mu
 	closed bool        // guarded by server.mu
@@ -37,7 +38,7 @@
 	if !t.validator.withinRequest() {
 		t.requestBegan.Store(0)
 	} else if t.requestBegan.Load() == 0 {
-		t.requestBegan.Store(time.Now().UnixNano())
+		t.requestBegan.Store(max(time.Since(t.acceptedAt).Nanoseconds(), 1))
 	}
 	return n, err
 }
@@ -105,5 +106,5 @@
 // requestTimedOut reports whether a request is incomplete for too long.
 func (t *trackedConn) requestTimedOut(now time.Time) bool {
 	began := t.requestBegan.Load()
-	return began != 0 && now.After(time.Unix(0, began).Add(t.server.Timeouts.Request))
+	return began != 0 && now.After(t.acceptedAt.Add(time.Duration(began)+t.server.Timeouts.Request))
 }
--- a/internal/invocation/executor/executor.go
+++ b/internal/invocation/executor/executor.go
@@ -93,6 +93,9 @@
 	return e, nil
 }
 
+// Clock returns the clock of the times that invocations bear. Times of other clocks must not be compared with them.
+func (e *Executor) Clock() *monotonic.Clock { return e.clock }
+
 // Close waits for the executor's goroutines and closes the store. Invocations that have not completed stay in the
 // store for the next start of the program.
 func (e *Executor) Close() error {
--- a/internal/invocation/store/deadletter.go
+++ b/internal/invocation/store/deadletter.go
@@ -39,9 +39,10 @@
 	return successor, storageError(err)
 }
 
-// Purge deletes dead letters that completed before a time: the named ones, or all of them if ids is empty. It returns
-// how many it deleted, and fails with ErrNotDeadLetter at the first name that is none.
-func (s *Store) Purge(ids []string, before, now time.Time) (purged int, err error) {
+// Purge deletes dead letters that completed at least minAge before now: the named ones, or all of them if ids is empty.
+// With a minAge of 0 none is too young, whatever the clock said when it completed. Purge returns how many it deleted, and
+// fails with ErrNotDeadLetter at the first name that is none.
+func (s *Store) Purge(ids []string, minAge time.Duration, now time.Time) (purged int, err error) {
 	if len(ids) == 0 {
 		deadLetters, err := s.List(Filter{DeadLetters: true})
 		if err != nil {
@@ -52,7 +53,7 @@
 		}
 	}
 	for _, id := range ids {
-		deleted, err := s.purge(id, before, now)
+		deleted, err := s.purge(id, minAge, now)
 		if err != nil {
 			return purged, err
 		}
@@ -63,8 +64,8 @@
 	return purged, nil
 }
 
-// purge deletes one dead letter, if it completed before a time, and reports whether it did.
-func (s *Store) purge(id string, before, now time.Time) (deleted bool, err error) {
+// purge deletes one dead letter, if it is old enough, and reports whether it did.
+func (s *Store) purge(id string, minAge time.Duration, now time.Time) (deleted bool, err error) {
 	err = s.update(func(tx *durable.Tx) error {
 		inv, err := load(tx, id)
 		if err != nil {
@@ -73,7 +74,8 @@
 		if !inv.DeadLetter {
 			return invocation.ErrNotDeadLetter
 		}
-		if !inv.CompletedAt.Before(before) {
+		tooYoung := minAge > 0 && now.Sub(inv.CompletedAt) < minAge
+		if tooYoung {
 			return nil
 		}
 		_, _, err = s.apply(tx, id, invocation.Input{Event: invocation.EventDelete, Note: "purged"}, nil, now)
--- a/internal/invocation/store/layout.go
+++ b/internal/invocation/store/layout.go
@@ -27,7 +27,7 @@
 	expiredBucket             // ID -> end of this record, tenant; the bare fact that there was an invocation
 	expiredUntilBucket        // end of the record in expiredBucket, ID -> empty
 	usageBucket               // 0 tenant -> number of invocations, bytes (8 bytes each); all tenants under the empty name
-	clockBucket               // latestTimeKey -> latest time known
+	clockBucket               // latestTimeKey -> latest time known; startKey -> start of the last run
 	submittedBucket           // ID -> time of submission; in memory only, for runs whose start is not stored
 )
 
@@ -42,9 +42,14 @@
 const (
 	timeLength  = 8
 	usageLength = 16
+	startLength = 16 // of a run's start without the identity of the boot
 )
 
-var latestTimeKey = []byte("latest")
+// Keys of the clock's bucket.
+var (
+	latestTimeKey = []byte("latest")
+	startKey      = []byte("start")
+)
 
 func idempotencyKey(request *invocation.Request) []byte {
 	return []byte(request.Tenant + "\x00" + request.IdempotencyKey)
--- a/internal/invocation/store/store_test.go
+++ b/internal/invocation/store/store_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"kitefall/internal/invocation"
+	"kitefall/internal/monotonic"
 )
 
 // A rejection invites a retry, which a client makes under the same key. Until its time has come the key still belongs
@@ -140,3 +141,22 @@
 	require.NoError(t, err)
 	assert.True(t, latest.Equal(noon), latest)
 }
+
+// The wall clock is set between two runs. On one boot of the machine the uptime tells how much time has passed; after
+// another boot the wall clock does, but time never goes back.
+func TestClockGoesOnFromTheLastRun(t *testing.T) {
+	s, _ := openNew(t, Options{})
+	defer s.Close()
+	start := func(wall time.Time, boot string, uptime time.Duration) time.Time {
+		t.Helper()
+		clock, err := s.StartClock(wall, monotonic.Uptime{BootID: boot, Elapsed: uptime})
+		require.NoError(t, err)
+		return clock.Now().UTC().Truncate(time.Minute)
+	}
+	assert.Equal(t, noon, start(noon, "first", time.Hour))
+	assert.Equal(t, noon.Add(5*time.Minute), start(noon.Add(24*time.Hour), "first", time.Hour+5*time.Minute), "set forward")
+	assert.Equal(t, noon.Add(9*time.Minute), start(noon.Add(-time.Hour), "first", time.Hour+9*time.Minute), "set back")
+	assert.Equal(t, noon.Add(time.Hour), start(noon.Add(time.Hour), "second", time.Minute), "booted: the wall clock counts")
+	assert.Equal(t, noon.Add(time.Hour), start(noon, "third", time.Minute), "booted, and behind: time stands")
+	assert.Equal(t, noon.Add(2*time.Hour), start(noon.Add(2*time.Hour), "", 0), "no uptime")
+}
