Soak with overlapping faults on real processes, checked from outside

Random plans by seed: steps of the wall clock (also at the start), reloads, planned restarts and kills of dispatchers; crashes, replacements, hangs, freezes, resets and unloads of workers; an endpoint list that hangs; clients that cancel, close, burst and change functions.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -105,12 +105,25 @@
 	return nil
 }
 
-// StopWorker stops a worker's process for a time, its connections stay open and silent.
-func (f *Fleet) StopWorker(number int, length time.Duration) {
+// HangWorker has a worker run and answer nothing for a time; its connections stay open and silent.
+func (f *Fleet) HangWorker(number int, length time.Duration) {
 	w := f.workers[number]
+	w.signal(syscall.SIGHUP)
+	time.Sleep(length)
+	w.signal(syscall.SIGHUP)
+}
+
+// FreezeWorker stops a worker's process for a time. It does not even read then, so that nobody knows when what it reads
+// next has arrived.
+func (f *Fleet) FreezeWorker(number int, length time.Duration) {
+	w := f.workers[number]
+	begin := Now()
 	w.signal(syscall.SIGSTOP)
 	time.Sleep(length)
 	w.signal(syscall.SIGCONT)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.freezes = append(f.freezes, Freeze{Worker: w.uid, Begin: begin, End: Now()})
 }
 
 // FlushWorkers unloads all functions of all workers, as when all are released anew.
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -100,6 +100,7 @@
 	workers     []*workerHandle
 	clients     []*client
 	faults      map[string]int
+	freezes     []Freeze
 
 	stopClients chan struct{}
 	closers     []func()
@@ -428,7 +429,7 @@
 
 // history gathers what was recorded.
 func (f *Fleet) history() (*History, error) {
-	h := &History{Rules: f.config.Rules, Faults: f.faults}
+	h := &History{Rules: f.config.Rules, Faults: f.faults, Freezes: f.freezes}
 	for _, w := range f.workers {
 		events, err := readWorkerEvents(w.recordPath())
 		if err != nil && !os.IsNotExist(err) {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -21,7 +21,8 @@
 	FaultKill          FaultKind = "kill"
 	FaultCrashWorker   FaultKind = "crash-worker"
 	FaultReplaceWorker FaultKind = "replace-worker"
-	FaultStopWorker    FaultKind = "stop-worker"
+	FaultHangWorker    FaultKind = "hang-worker"
+	FaultFreezeWorker  FaultKind = "freeze-worker"
 	FaultFlush         FaultKind = "flush"
 	FaultReset         FaultKind = "reset"
 	FaultHangBoard     FaultKind = "hang-board"
@@ -84,7 +85,7 @@
 		plan.Steps = append(plan.Steps, randomSteps(random, length))
 	}
 	kinds := []FaultKind{FaultReload, FaultReload, FaultTerminate, FaultKill, FaultCrashWorker, FaultReplaceWorker,
-		FaultStopWorker, FaultFlush, FaultReset, FaultReset, FaultHangBoard, FaultNewFunctions, FaultBurst}
+		FaultHangWorker, FaultFreezeWorker, FaultFlush, FaultReset, FaultReset, FaultHangBoard, FaultNewFunctions, FaultBurst}
 	for range int(length.Seconds() * (1.5 + 2*random.Float64())) {
 		plan.Faults = append(plan.Faults, randomFault(random, kinds, plan))
 	}
@@ -200,7 +201,7 @@
 		}
 		defer p.release(process)
 		p.injectDispatcher(fault)
-	case FaultCrashWorker, FaultReplaceWorker, FaultStopWorker, FaultReset:
+	case FaultCrashWorker, FaultReplaceWorker, FaultHangWorker, FaultFreezeWorker, FaultReset:
 		process := fmt.Sprint("worker ", fault.Target)
 		if !p.take(process) {
 			return
@@ -253,8 +254,10 @@
 		if spare < p.plan.Workers+maxSpares {
 			err = p.fleet.ReplaceWorker(fault.Target, spare, 2*time.Second)
 		}
-	case FaultStopWorker:
-		p.fleet.StopWorker(fault.Target, fault.Length)
+	case FaultHangWorker:
+		p.fleet.HangWorker(fault.Target, fault.Length)
+	case FaultFreezeWorker:
+		p.fleet.FreezeWorker(fault.Target, fault.Length)
 	case FaultReset:
 		p.fleet.ResetWorker(fault.Target)
 	}
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -94,6 +94,13 @@
 	At         time.Duration // when it counts as told
 }
 
+// Freeze is a time in which a worker's process was stopped.
+type Freeze struct {
+	Worker string
+	Begin  time.Duration
+	End    time.Duration
+}
+
 // History is all that was recorded in a run.
 type History struct {
 	Rules       Rules
@@ -101,5 +108,6 @@
 	Requests    []*Request
 	Dispatchers []DispatcherRun
 	Notices     []Notice
+	Freezes     []Freeze
 	Faults      map[string]int // faults injected, by kind
 }
--- a/internal/soak/workerproc.go
+++ b/internal/soak/workerproc.go
@@ -59,7 +59,8 @@
 }
 
 // WorkerMain runs a worker if the process was started as one, and does not return then. Otherwise it does nothing.
-// SIGUSR1 unloads all functions, SIGUSR2 resets all connections.
+// SIGUSR1 unloads all functions, SIGUSR2 resets all connections, and SIGHUP has it hang until the next SIGHUP: it goes on
+// reading what arrives, but runs and answers nothing.
 func WorkerMain() {
 	text, ok := os.LookupEnv(workerEnv)
 	if !ok {
@@ -93,7 +94,8 @@
 	random    *rand.Rand
 	functions map[string]*loadedFunction
 	conns     map[*net.TCPConn]bool
-	waiting   int // calls that wait for a core
+	waiting   int           // calls that wait for a core
+	resumed   chan struct{} // closed unless it hangs
 }
 
 func runWorker(config WorkerConfig) error {
@@ -108,7 +110,9 @@
 		random:    rand.New(rand.NewPCG(config.Seed, 0)),
 		functions: map[string]*loadedFunction{},
 		conns:     map[*net.TCPConn]bool{},
+		resumed:   make(chan struct{}),
 	}
+	close(w.resumed)
 	for dispatcher, addr := range config.Addrs {
 		listener, err := listenRetrying(addr)
 		if err != nil {
@@ -137,7 +141,7 @@
 // handleSignals unloads or resets on signals and returns on SIGTERM.
 func (w *workerProcess) handleSignals() {
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGTERM)
+	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGHUP, syscall.SIGTERM)
 	for received := range signals {
 		w.mu.Lock()
 		switch received {
@@ -148,6 +152,12 @@
 				conn.SetLinger(0)
 				conn.Close()
 			}
+		case syscall.SIGHUP:
+			if isClosed(w.resumed) {
+				w.resumed = make(chan struct{})
+			} else {
+				close(w.resumed)
+			}
 		case syscall.SIGTERM:
 			return
 		}
@@ -155,6 +165,14 @@
 	}
 }
 
+// awaitResume waits while the worker hangs.
+func (w *workerProcess) awaitResume() {
+	w.mu.Lock()
+	resumed := w.resumed
+	w.mu.Unlock()
+	<-resumed
+}
+
 // note writes an event to the record.
 func (w *workerProcess) note(e WorkerEvent) {
 	w.mu.Lock()
@@ -224,7 +242,7 @@
 	case codeCancel:
 		c.cancelled.Store(f.id, true)
 	case codePing:
-		c.answer(codePong, f.id, "", "")
+		go c.answer(codePong, f.id, "", "")
 	case codeLoad:
 		c.worker.note(WorkerEvent{Kind: LoadArrived, Dispatcher: c.dispatcher, Function: f.fields["thing"]})
 		go c.load(f)
@@ -236,6 +254,7 @@
 // load carries out a load order.
 func (c *workerConn) load(f workerFrame) {
 	w := c.worker
+	w.awaitResume()
 	w.mu.Lock()
 	loading := w.functions[f.fields["thing"]]
 	isNew := loading == nil
@@ -277,6 +296,7 @@
 // runCall answers a call, unless it is given up before it runs.
 func (c *workerConn) runCall(f workerFrame) {
 	w := c.worker
+	w.awaitResume()
 	loaded := w.use(f.fields["thing"])
 	if loaded == nil {
 		c.answer(codeMiss, f.id, "", "")
@@ -346,6 +366,7 @@
 	encoded = append(encoded, fields...)
 	encoded = append(encoded, body...)
 	encoded = binary.BigEndian.AppendUint32(encoded, crc32.ChecksumIEEE(encoded[headSize:]))
+	c.worker.awaitResume()
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	c.conn.Write(encoded)
