Decide in package permit whether anything may begin, and check it again at run time

They stand in one pure package now, which all of these ask; the load budget is one type with one accounting.

The event loop checks each attempt and load order once more with its own records, by the monotonic clock: what would break a rule is not carried out, counted in metrics.Violations and logged as an error. What is refused because of a change that came after the choice (the client left, the worker drains) is counted in metrics.Refusals.

TestRequestsEarnLoadsInOrderOfArrival looked into the budget's fields; its cases are in package permit now (TestLoadBudgetForgets, order and window), and TestRequestEarnsLoadsOnce keeps the rest.

--- a/internal/balancer/attempts.go
+++ b/internal/balancer/attempts.go
@@ -1,6 +1,10 @@
 package balancer
 
-import "time"
+import (
+	"time"
+
+	"kitefall/internal/permit"
+)
 
 const (
 	retryRatio     = 0.2  // hedged requests and retries, as a part of the requests taken
@@ -12,12 +16,11 @@
 	return !r.closed && len(r.attempts) < b.settings.MaxAttempts && !b.tooLate(r)
 }
 
-// mayAttempt holds the rules on what may be sent where: drains, repeats, slow start, attempts and time.
+// mayAttempt reports whether a request may be sent to a worker: what package permit rules for all, and what only the
+// balancer knows, the scope of keys and the slow start.
 func (b *Balancer) mayAttempt(r *request, w *worker) bool {
-	if w.State != Ready || !b.attemptsLeft(r) || r.mustNotRepeat() {
-		return false
-	}
-	if r.outstanding > 0 && !b.settings.Hedging {
+	start := permit.Start{Worker: w.State.Permitted(), ClientGone: r.closed}
+	if start.Check() != permit.Allowed || b.tooLate(r) || b.repeat(r).Check() != permit.Allowed {
 		return false
 	}
 	left, limited := r.dedupTimeLeft(b.now)
@@ -50,6 +53,18 @@
 	b.emit(Send{ID: r.ID, Worker: w.ID, Timeout: timeout, StartWithin: startWithin})
 }
 
+// repeat returns the facts on another attempt of a request.
+func (b *Balancer) repeat(r *request) permit.Repeat {
+	return permit.Repeat{
+		Attempts:    len(r.attempts),
+		MaxAttempts: b.settings.MaxAttempts,
+		Pending:     r.outstanding > 0,
+		MayHaveRun:  r.mayHaveRun(),
+		Repeatable:  r.class.Idempotency != NotIdempotent,
+		Hedging:     b.settings.Hedging,
+	}
+}
+
 // mustNotRepeat reports whether another attempt could run the request twice where it must not.
 func (r *request) mustNotRepeat() bool { return r.class.Idempotency == NotIdempotent && r.mayHaveRun() }
 
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -56,7 +56,7 @@
 		requests:        map[RequestID]*request{},
 		longestTimeLeft: map[string]time.Duration{},
 		retries:         tokenBucket{tokens: maxRetryBudget, limit: maxRetryBudget},
-		loads:           loadBudget{window: concurrencyWindow{size: initialLoadWindow}},
+		loads:           newLoadBudget(s),
 		stats:           fleetStats{failureRate: map[string]float64{}},
 	}
 	for _, c := range s.Classes {
--- a/internal/balancer/events.go
+++ b/internal/balancer/events.go
@@ -1,6 +1,10 @@
 package balancer
 
-import "time"
+import (
+	"time"
+
+	"kitefall/internal/permit"
+)
 
 // WorkerState is what the endpoint list says of a worker.
 type WorkerState int
@@ -12,6 +16,18 @@
 	Removed
 )
 
+// Permitted translates the state for package permit.
+func (s WorkerState) Permitted() permit.Worker {
+	switch s {
+	case Ready:
+		return permit.WorkerReady
+	case Removed:
+		return permit.WorkerIsRemoved
+	default:
+		return permit.WorkerIsDraining
+	}
+}
+
 // Worker is one entry of the endpoint list.
 type Worker struct {
 	ID      WorkerID
--- a/internal/balancer/loadbudget_test.go
+++ b/internal/balancer/loadbudget_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"kitefall/internal/permit"
 )
 
 func TestLoadBudgetCountsPendingOrders(t *testing.T) {
@@ -21,24 +23,12 @@
 	require.False(t, p.ordered)
 }
 
-// Requests are counted once, at their arrival, whichever is taken first.
-func TestRequestsEarnLoadsInOrderOfArrival(t *testing.T) {
-	for _, test := range []struct {
-		name   string
-		window time.Duration
-		want   []time.Duration
-	}{
-		{"with a budget", time.Second, []time.Duration{1, 2}},
-		{"without", 0, nil},
-	} {
-		t.Run(test.name, func(t *testing.T) {
-			b := &Balancer{settings: Settings{LoadWindow: test.window}}
-			early := &request{deadline: 1}
-			late := &request{deadline: 2}
-			b.earnLoads(late)
-			b.earnLoads(early)
-			b.earnLoads(late)
-			require.Equal(t, test.want, b.loads.requests)
-		})
-	}
+// A request earns load orders once, whichever of its attempts a worker takes.
+func TestRequestEarnsLoadsOnce(t *testing.T) {
+	b := &Balancer{loads: newLoadBudget(Settings{LoadWindow: time.Second, LoadRatio: 1})}
+	r := &request{deadline: 1}
+	b.earnLoads(r)
+	b.earnLoads(r)
+	require.Equal(t, permit.Allowed, b.loads.budget.Take(2))
+	require.Equal(t, permit.BudgetSpent, b.loads.budget.Take(2))
 }
--- a/internal/balancer/loadorders.go
+++ b/internal/balancer/loadorders.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"slices"
+
+	"kitefall/internal/permit"
 )
 
 const (
@@ -26,40 +28,23 @@
 	if !b.settings.LoadOrders || f.id == "" || b.unknownFunction(f) {
 		return false
 	}
-	if float64(b.loads.inFlight) >= maxInFlight || !b.spendLoadBudget() {
+	if float64(b.loads.inFlight) >= maxInFlight || b.loads.budget.Take(b.now) != permit.Allowed {
 		return false
 	}
 	b.loads.begin(f, p, b.now)
 	b.emit(Load{Worker: p.worker.ID, Function: f.id, Copies: min(copies, maxCopies),
-		StartWithin: b.maxOrderDelay()})
-	return true
-}
-
-// spendLoadBudget takes one order from the load budget, if it allows one.
-func (b *Balancer) spendLoadBudget() bool {
-	window := b.settings.LoadWindow
-	if window == 0 {
-		return true
-	}
-	b.loads.orders = after(b.loads.orders, b.now-window-b.maxOrderDelay())
-	b.loads.requests = after(b.loads.requests, b.now-window+b.maxOrderDelay())
-	limit := b.settings.LoadBurst + b.settings.LoadRatio*float64(len(b.loads.requests))
-	if float64(len(b.loads.orders)+1) > limit {
-		return false
-	}
-	b.loads.orders = append(b.loads.orders, b.now)
+		StartWithin: b.settings.maxOrderDelay()})
 	return true
 }
 
 // earnLoads counts a request for the load budget, at its arrival, once a worker has taken it for a request.
 // Clients can send many that they cancel at once, or that name unknown functions: these earn no orders.
 func (b *Balancer) earnLoads(r *request) {
-	if r.earnedLoads || b.settings.LoadWindow == 0 {
+	if r.earnedLoads {
 		return
 	}
 	r.earnedLoads = true
-	i, _ := slices.BinarySearch(b.loads.requests, r.arrivedAt())
-	b.loads.requests = slices.Insert(b.loads.requests, i, r.arrivedAt())
+	b.loads.budget.Earn(r.arrivedAt())
 }
 
 // onLoadEnded takes in the end of a load order and places the requests that waited for it.
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -9,6 +9,7 @@
 	"kitefall/internal/call"
 	"kitefall/internal/logthrottle"
 	"kitefall/internal/metrics"
+	"kitefall/internal/permit"
 	"kitefall/internal/worker"
 )
 
@@ -125,12 +126,13 @@
 	if a.state != attemptPreparing {
 		return
 	}
-	r := a.request
-	e := c.endpoints[a.workerID]
-	if e == nil || r.handle.finished.Load() || !time.Now().Before(a.deadline) {
+	if reason := c.permitAttempt(a); reason != permit.Allowed {
+		noteRefusal(reason, "attempt", "call", a.request.logID(), "worker", string(a.workerID))
 		c.endAttempt(a, worker.Result{Status: balancer.NotSent})
 		return
 	}
+	r := a.request
+	e := c.endpoints[a.workerID]
 	outgoing := worker.Attempt{
 		ID:        r.call.ID,
 		Class:     r.call.Class,
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -12,7 +12,6 @@
 import (
 	"errors"
 	"sync/atomic"
-	"time"
 
 	"kitefall/internal/balancer"
 	"kitefall/internal/call"
@@ -52,8 +51,8 @@
 	// All that follows belongs to the goroutine of Run.
 
 	balancer       requestBalancer
-	balancerTime   time.Duration // latest time that the balancer was told
 	clock          clock
+	permits        permits
 	clockSteps     *monotonic.StepDetector
 	balancerEvents []balancer.Event // to deliver; the first one is being handled
 	lastID         balancer.RequestID
@@ -79,6 +78,7 @@
 		stopped:    make(chan struct{}),
 		balancer:   b,
 		clock:      newClock(),
+		permits:    newPermits(config.Settings),
 		startTimes: balancer.NewStartTimes(),
 		clockSteps: monotonic.NewStepDetector(),
 		requests:   map[balancer.RequestID]*request{},
--- a/internal/dispatch/endpoints.go
+++ b/internal/dispatch/endpoints.go
@@ -6,14 +6,15 @@
 
 	"kitefall/internal/balancer"
 	"kitefall/internal/discovery"
+	"kitefall/internal/permit"
 	"kitefall/internal/worker"
 )
 
 // endpoint is a worker's address and the connection pool for it.
 type endpoint struct {
-	addr    string
-	pool    *worker.Pool
-	removed bool // the worker is gone; the endpoint stays until its pool is idle
+	addr  string
+	pool  *worker.Pool
+	state permit.Worker // once removed, the endpoint stays until its pool is idle
 }
 
 // updateEndpoints takes in an endpoint list or a change of it. Where it names a worker twice, the last entry counts.
@@ -42,11 +43,11 @@
 // updateEndpoint brings the endpoint of one worker up to date.
 func (c *Core) updateEndpoint(entry discovery.Endpoint) {
 	e := c.endpointAt(entry.ID, entry.Addr)
-	e.removed = entry.State == balancer.Removed
-	if entry.State == balancer.Ready {
+	e.state = entry.State.Permitted()
+	if e.state == permit.WorkerReady {
 		e.pool.MarkReady(c.clock.at(entry.Started))
 	} else {
-		e.pool.MarkUnavailable(e.removed)
+		e.pool.MarkUnavailable(e.state)
 	}
 }
 
@@ -58,7 +59,7 @@
 		return known
 	}
 	if known != nil { // the worker came back at another address; its attempts at the old one may still be answered
-		known.pool.MarkUnavailable(true)
+		known.pool.MarkUnavailable(permit.WorkerIsRemoved)
 	}
 	e := &endpoint{addr: addr, pool: worker.NewPool(string(id), addr, &c.config.Pool)}
 	c.endpoints[id] = e
@@ -69,8 +70,8 @@
 func (c *Core) markAbsentRemoved(listed map[balancer.WorkerID]bool) {
 	for id, e := range c.endpoints {
 		if !listed[id] {
-			e.removed = true
-			e.pool.MarkUnavailable(true)
+			e.state = permit.WorkerIsRemoved
+			e.pool.MarkUnavailable(e.state)
 		}
 	}
 }
@@ -79,7 +80,7 @@
 // would only pile up.
 func (c *Core) deleteRemovedEndpoints() {
 	for id, e := range c.endpoints {
-		if e.removed && e.pool.Idle() {
+		if e.state == permit.WorkerIsRemoved && e.pool.Idle() {
 			c.startTimes.Forget(id)
 			delete(c.endpoints, id)
 		}
--- a/internal/dispatch/loads.go
+++ b/internal/dispatch/loads.go
@@ -7,6 +7,7 @@
 	"kitefall/internal/balancer"
 	"kitefall/internal/logthrottle"
 	"kitefall/internal/metrics"
+	"kitefall/internal/permit"
 	"kitefall/internal/worker"
 )
 
@@ -35,11 +36,12 @@
 func (c *Core) startLoad(load balancer.Load) {
 	order := &loadOrder{key: loadKey{load.Worker, load.Function}, created: time.Now()}
 	c.loads[order.key] = order
-	e := c.endpoints[load.Worker]
-	if e == nil {
-		c.endLoad(order, worker.Result{Status: balancer.ConnectFailed})
+	if reason := c.permitLoad(load.Worker, order.created); reason != permit.Allowed {
+		noteRefusal(reason, "load order", "worker", string(load.Worker), "function", string(load.Function))
+		c.endLoad(order, worker.Result{Status: balancer.NotSent})
 		return
 	}
+	e := c.endpoints[load.Worker]
 	deadline := order.created.Add(c.config.Settings.LoadTimeout)
 	startBy := deadline
 	if load.StartWithin > 0 {
--- /dev/null
+++ b/internal/dispatch/permits.go
@@ -0,0 +1,90 @@
+package dispatch
+
+import (
+	"log/slog"
+	"time"
+
+	"kitefall/internal/balancer"
+	"kitefall/internal/logthrottle"
+	"kitefall/internal/metrics"
+	"kitefall/internal/permit"
+)
+
+// violationLog throttles the line of violations: a fault of the balancer could show with each request.
+var violationLog = logthrottle.New()
+
+// permits checks at run time, with the core's own records, that what the balancer has chosen may begin. The balancer asks
+// package permit when it chooses; a choice that is refused here is not carried out, and counted.
+type permits struct {
+	repeatable  map[string]bool // classes whose requests may run more than once
+	maxAttempts int
+	hedging     bool
+	loads       permit.LoadBudget
+}
+
+func newPermits(s balancer.Settings) permits {
+	p := permits{
+		repeatable:  map[string]bool{},
+		maxAttempts: max(1, s.MaxAttempts),
+		hedging:     s.Hedging,
+		loads:       permit.LoadBudget{Burst: s.LoadBurst, Ratio: s.LoadRatio, Window: s.LoadWindow},
+	}
+	for _, class := range s.Classes {
+		p.repeatable[class.Name] = class.Idempotency != balancer.NotIdempotent
+	}
+	return p
+}
+
+// permitAttempt checks an attempt that is about to be handed to its worker's pool.
+func (c *Core) permitAttempt(a *attempt) permit.Reason {
+	r := a.request
+	start := permit.Start{
+		Worker:     c.endpointState(a.workerID),
+		ClientGone: r.handle.finished.Load(),
+		TimeLeft:   time.Until(a.deadline),
+	}
+	if reason := start.Check(); reason != permit.Allowed {
+		return reason
+	}
+	repeat := permit.Repeat{
+		Attempts:    a.number,
+		MaxAttempts: c.permits.maxAttempts,
+		Repeatable:  c.permits.repeatable[r.call.Class],
+		Hedging:     c.permits.hedging,
+	}
+	for _, other := range r.attempts[:a.number] {
+		repeat.Pending = repeat.Pending || !other.ended()
+		repeat.MayHaveRun = repeat.MayHaveRun || other.mayHaveRun()
+	}
+	return repeat.Check()
+}
+
+// permitLoad checks a load order that is about to be handed to its worker's pool, and takes it from the budget.
+func (c *Core) permitLoad(id balancer.WorkerID, now time.Time) permit.Reason {
+	start := permit.Start{Worker: c.endpointState(id)}
+	if reason := start.Check(); reason != permit.Allowed {
+		return reason
+	}
+	return c.permits.loads.Take(c.clock.balancerTime(now))
+}
+
+// endpointState returns whether a worker takes anything new, by the last update of the endpoint list.
+func (c *Core) endpointState(id balancer.WorkerID) permit.Worker {
+	e := c.endpoints[id]
+	if e == nil {
+		return permit.WorkerIsRemoved
+	}
+	return e.state
+}
+
+// noteRefusal counts what was not permitted, and logs a violation: what names the order, and about whom.
+func noteRefusal(reason permit.Reason, what string, attributes ...any) {
+	metrics.Refusals.Add(reason.String())
+	if !reason.IsViolation() {
+		return
+	}
+	metrics.Violations.Add(reason.String())
+	attributes = append([]any{"what", what, "reason", reason.String()}, attributes...)
+	violationLog.Log(slog.LevelError, "core: the balancer's choice would have broken a rule and was not carried out",
+		attributes...)
+}
--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -67,6 +67,7 @@
 	r := &request{id: c.lastID, call: submitted, handle: handle, prepared: submitted.BeforeFirstAttempt == nil}
 	handle.id = r.id
 	c.requests[r.id] = r
+	c.permits.loads.Earn(c.clock.balancerTime(time.Now()))
 	answerBy := submitted.Deadline.Add(time.Duration(fallbackGraceShare * float64(c.config.Settings.AnswerGrace)))
 	r.overdue = c.timers.add(answerBy, answerOverdue{request: r})
 	c.notifyBalancer(balancer.RequestEvent{
--- a/internal/frontend/resp/conn.go
+++ b/internal/frontend/resp/conn.go
@@ -11,6 +11,7 @@
 	"github.com/tidwall/redcon"
 
 	"kitefall/internal/dispatch"
+	"kitefall/internal/permit"
 )
 
 // The commands of clients.
@@ -126,7 +127,10 @@
 }
 
 // idleLocked reports whether nothing is in flight or unwritten. The caller holds c.mu.
-func (c *clientConn) idleLocked() bool { return len(c.requests) == 0 && c.unwritten == 0 }
+func (c *clientConn) idleLocked() bool {
+	use := permit.Connection{Open: len(c.requests), Unwritten: c.unwritten}
+	return use.Check() == permit.Allowed
+}
 
 // close closes the connection and cancels the requests in flight on it. Only the first call has an effect.
 func (c *clientConn) close() {
--- /dev/null
+++ b/internal/permit/permit_test.go
@@ -0,0 +1,87 @@
+package permit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestStart(t *testing.T) {
+	for _, test := range []struct {
+		start Start
+		want  Reason
+	}{
+		{Start{}, Allowed},
+		{Start{TimeLeft: -1}, TooLate},
+		{Start{ClientGone: true, TimeLeft: 1}, ClientGone},
+		{Start{Worker: WorkerIsDraining, ClientGone: true}, WorkerDraining},
+		{Start{Worker: WorkerIsRemoved}, WorkerRemoved},
+	} {
+		assert.Equal(t, test.want, test.start.Check(), "%+v", test.start)
+		assert.False(t, test.want.IsViolation(), "it may come between the choice and the start")
+	}
+}
+
+func TestRepeat(t *testing.T) {
+	for _, test := range []struct {
+		repeat Repeat
+		want   Reason
+	}{
+		{Repeat{MaxAttempts: 1}, Allowed},
+		{Repeat{MaxAttempts: 2, Attempts: 2}, AttemptsExhausted},
+		{Repeat{MaxAttempts: 2, Attempts: 1, MayHaveRun: true}, RepeatForbidden},
+		{Repeat{MaxAttempts: 2, Attempts: 1, MayHaveRun: true, Repeatable: true}, Allowed},
+		{Repeat{MaxAttempts: 2, Attempts: 1, MayHaveRun: true, Pending: true, Repeatable: true}, AttemptPending},
+		{Repeat{MaxAttempts: 2, Attempts: 1, MayHaveRun: true, Pending: true, Repeatable: true, Hedging: true}, Allowed},
+	} {
+		assert.Equal(t, test.want, test.repeat.Check(), "%+v", test.repeat)
+		assert.Equal(t, test.want != Allowed, test.want.IsViolation())
+	}
+}
+
+func TestConnection(t *testing.T) {
+	assert.Equal(t, Allowed, Connection{}.Check())
+	assert.Equal(t, InUse, Connection{Open: 1}.Check())
+	assert.Equal(t, InUse, Connection{Unwritten: 1}.Check())
+}
+
+// takeAll takes orders at a time until the budget is spent, and returns how many it gave.
+func takeAll(b *LoadBudget, now time.Duration) int {
+	taken := 0
+	for b.Take(now) == Allowed {
+		taken++
+	}
+	return taken
+}
+
+func TestLoadBudget(t *testing.T) {
+	b := &LoadBudget{Burst: 2, Ratio: 0.5, Window: 10 * time.Second}
+	assert.Equal(t, 2, takeAll(b, time.Minute))
+	for range 4 {
+		b.Earn(time.Minute)
+	}
+	assert.Equal(t, 2, takeAll(b, time.Minute+time.Second), "four requests earn two")
+	assert.Zero(t, takeAll(b, time.Minute+10*time.Second-1), "the first orders still count")
+	assert.Equal(t, 0, takeAll(b, time.Minute+10*time.Second), "but the requests have left the window too")
+	assert.Equal(t, 2, takeAll(b, time.Minute+11*time.Second))
+	assert.Equal(t, Allowed, (&LoadBudget{}).Take(0), "no window: no bound")
+}
+
+// Requests are taken in no order, and those that have left the window are forgotten.
+func TestLoadBudgetForgets(t *testing.T) {
+	b := &LoadBudget{Ratio: 1, Window: 10 * time.Second}
+	for _, at := range []time.Duration{20 * time.Second, 15 * time.Second, 31 * time.Second, 22 * time.Second} {
+		b.Earn(at)
+	}
+	assert.Equal(t, []time.Duration{22 * time.Second, 31 * time.Second}, b.requests)
+}
+
+// Orders are on their way for up to the margin: they count for longer, and requests for less long.
+func TestLoadBudgetKeepsAMargin(t *testing.T) {
+	b := &LoadBudget{Burst: 1, Ratio: 1, Window: 10 * time.Second, Margin: time.Second}
+	b.Earn(time.Minute)
+	assert.Equal(t, 2, takeAll(b, time.Minute))
+	assert.Zero(t, takeAll(b, time.Minute+11*time.Second-1))
+	assert.Equal(t, 1, takeAll(b, time.Minute+11*time.Second))
+}
--- a/internal/worker/conn.go
+++ b/internal/worker/conn.go
@@ -10,6 +10,7 @@
 
 	"kitefall/internal/balancer"
 	"kitefall/internal/logthrottle"
+	"kitefall/internal/permit"
 )
 
 // idReuseDelay is how long an id stays off the connection on which it ended: another answer to it may still come, late or
@@ -80,7 +81,8 @@
 
 // idleLocked reports whether the connection has nothing to write and no answer to wait for.
 func (c *conn) idleLocked() bool {
-	return len(c.inFlight) == 0 && len(c.writeQueue) == 0 && c.writing == nil
+	use := permit.Connection{Open: len(c.inFlight), Unwritten: len(c.writeQueue)}
+	return use.Check() == permit.Allowed && c.writing == nil
 }
 
 // run establishes the connection and writes to it until it is closed.
@@ -152,7 +154,7 @@
 	if !alreadyClosed && c.logsEndLocked(cause) {
 		connEndedLog.Log(slog.LevelWarn, "worker: connection ended", "worker", c.pool.uid, "err", cause)
 	}
-	established := c.netConn != nil && c.pool.membership != memberRemoved
+	established := c.netConn != nil && c.pool.state != permit.WorkerIsRemoved
 	if established && !alreadyClosed && len(c.inFlight) > 0 { // closed by the worker or the network
 		c.pool.config.BreakRate.recordBroken()
 	}
--- a/internal/worker/conn_test.go
+++ b/internal/worker/conn_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"kitefall/internal/balancer"
+	"kitefall/internal/permit"
 )
 
 // What happens while a call is queued keeps it from being written, and it is known that it never ran.
@@ -20,8 +21,8 @@
 		event   func(*Pool)
 	}{
 		"its client leaves":         {Attempt{Abandoned: func() bool { return abandoned }}, func(*Pool) { abandoned = true }},
-		"its worker drains":         {Attempt{}, func(p *Pool) { p.MarkUnavailable(false) }},
-		"its worker is removed":     {Attempt{}, func(p *Pool) { p.MarkUnavailable(true) }},
+		"its worker drains":         {Attempt{}, func(p *Pool) { p.MarkUnavailable(permit.WorkerIsDraining) }},
+		"its worker is removed":     {Attempt{}, func(p *Pool) { p.MarkUnavailable(permit.WorkerIsRemoved) }},
 		"its start time has passed": {Attempt{StartBy: time.Now().Add(-time.Millisecond)}, func(*Pool) {}},
 		"its deadline has passed":   {Attempt{Deadline: time.Now().Add(-time.Millisecond)}, func(*Pool) {}},
 	} {
--- a/internal/worker/connwrite.go
+++ b/internal/worker/connwrite.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"kitefall/internal/failpoint"
+	"kitefall/internal/metrics"
+	"kitefall/internal/permit"
 )
 
 // writeLoop writes what is queued, and looks for idle connections of the pool, until the connection is closed.
@@ -38,7 +40,7 @@
 	writeNothing writeAction = iota
 	writeRequest
 	writeCancel
-	rejectExpired // end the request, of which nothing was written
+	rejectRefused // end the request, of which nothing was written
 )
 
 // write carries out what is to be done with a request from the queue.
@@ -49,7 +51,7 @@
 		c.writeFrame(request.encode(now), request.deadline, request)
 	case writeCancel:
 		c.writeFrame(request.encodeCancel(), request.deadline, nil)
-	case rejectExpired:
+	case rejectRefused:
 		c.finish(request, request.notStarted())
 	}
 }
@@ -61,7 +63,7 @@
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	action := c.chooseWriteLocked(request, now)
-	if action == rejectExpired {
+	if action == rejectRefused {
 		return action
 	}
 	c.lastUsed = now
@@ -83,11 +85,12 @@
 		return writeNothing
 	case request.state == requestEnded:
 		return writeCancel
-	case c.pool.membership != memberReady, request.expired(now):
-		return rejectExpired
-	default:
-		return writeRequest
 	}
+	if reason := request.permit(c.pool.state, now); reason != permit.Allowed {
+		metrics.Refusals.Add(reason.String())
+		return rejectRefused
+	}
+	return writeRequest
 }
 
 // writeFrame writes an encoded frame; request is the one that it starts, nil for a cancellation. If the write fails, or
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -11,6 +11,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"kitefall/internal/permit"
 )
 
 // silenceLimit is how long calls on a connection may go without any answer before the cancellation of one marks it as
@@ -23,15 +25,6 @@
 	errPoolClosed    = errors.New("pool was closed")
 )
 
-// membership is what the last update of the endpoint list said of the worker.
-type membership int
-
-const (
-	memberReady membership = iota
-	memberDraining
-	memberRemoved // its address may belong to another worker by now
-)
-
 // Pool is the connections to one worker, which is known by its uid: addresses are given anew to other workers. It is safe
 // for concurrent use, and none of its methods waits for a socket.
 type Pool struct {
@@ -40,9 +33,9 @@
 	config *Config
 
 	mu         sync.Mutex
-	membership membership
-	conns      []*conn   // those that are not closed
-	lastAnswer time.Time // on any connection
+	state      permit.Worker // by the last update of the endpoint list; the address of a removed one may be another's
+	conns      []*conn       // those that are not closed
+	lastAnswer time.Time     // on any connection
 }
 
 // NewPool returns the pool of the worker at addr. It connects when there is something to send. Pools share c.
@@ -105,13 +98,10 @@
 
 // MarkUnavailable notes that the worker drains, or that it was removed. No request is begun there any more, not even one
 // that was queued before: at the address of a removed worker another one may listen by now.
-func (p *Pool) MarkUnavailable(removed bool) {
+func (p *Pool) MarkUnavailable(state permit.Worker) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.membership = memberDraining
-	if removed {
-		p.membership = memberRemoved
-	}
+	p.state = state
 	p.closeIdleLocked(time.Now())
 }
 
@@ -120,7 +110,7 @@
 func (p *Pool) MarkReady(started time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.membership = memberReady
+	p.state = permit.WorkerReady
 	for _, c := range p.conns {
 		if c.createdAt.Before(started) {
 			c.advanceLocked(connStale)
@@ -166,7 +156,7 @@
 
 // enqueueLocked hands a request to a connection.
 func (p *Pool) enqueueLocked(request *PendingRequest) error {
-	if p.membership == memberRemoved {
+	if p.state == permit.WorkerIsRemoved {
 		return errWorkerRemoved
 	}
 	c := p.pickConnLocked(request.id)
@@ -227,7 +217,7 @@
 // closeIdleLocked closes the idle connections that are of no further use.
 func (p *Pool) closeIdleLocked(now time.Time) {
 	for _, c := range slices.Clone(p.conns) {
-		useless := c.state == connStale || p.membership == memberRemoved
+		useless := c.state == connStale || p.state == permit.WorkerIsRemoved
 		unusedFor := now.Sub(c.lastUsed)
 		if c.idleLocked() && (useless || unusedFor > p.config.idleCloseAfter()) {
 			c.closeLocked()
--- a/internal/worker/pool_test.go
+++ b/internal/worker/pool_test.go
@@ -11,6 +11,7 @@
 
 	"kitefall/internal/balancer"
 	"kitefall/internal/fakes"
+	"kitefall/internal/permit"
 	"kitefall/internal/worker"
 )
 
@@ -55,7 +56,7 @@
 	pool := newPool(t, w, unchanged)
 	_, late := call(t, pool, 1, time.Now().Add(-time.Millisecond))
 	assert.Equal(t, balancer.NotSent, (<-late).Status)
-	pool.MarkUnavailable(false)
+	pool.MarkUnavailable(permit.WorkerIsDraining)
 	_, drained := call(t, pool, 2, fakes.Deadline())
 	assert.Equal(t, balancer.NotSent, (<-drained).Status)
 	loaded := make(chan worker.Result, 1)
@@ -133,7 +134,7 @@
 	w := fakes.NewWorker(t)
 	config := fakes.PoolConfig()
 	removed := worker.NewPool("s-1", w.Addr, &config)
-	removed.MarkUnavailable(true)
+	removed.MarkUnavailable(permit.WorkerIsRemoved)
 	attempt := worker.Attempt{ID: 1, Class: "reserva", Function: "aa", Deadline: fakes.Deadline()}
 	_, err := removed.Call(attempt, func(worker.Result) {})
 	assert.Error(t, err)
--- a/internal/worker/request.go
+++ b/internal/worker/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"kitefall/internal/balancer"
+	"kitefall/internal/permit"
 )
 
 // Result is how an attempt or a load order ended.
@@ -107,9 +108,14 @@
 	return frame{mark: markCommand, code: codeCancel, id: r.id}.encode()
 }
 
-// expired reports that the request must not be begun any more.
-func (r *PendingRequest) expired(now time.Time) bool {
-	return now.After(r.startBy) || r.abandoned != nil && r.abandoned()
+// permit returns whether the request may be begun now, at a worker in a state.
+func (r *PendingRequest) permit(state permit.Worker, now time.Time) permit.Reason {
+	start := permit.Start{
+		Worker:     state,
+		ClientGone: r.abandoned != nil && r.abandoned(),
+		TimeLeft:   r.startBy.Sub(now),
+	}
+	return start.Check()
 }
 
 // notStarted is the result of a request that must not be begun any more.
