--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -56,12 +56,12 @@
 // DefaultRules are rules with short windows, so that a run of a few seconds sees them bind.
 func DefaultRules() Rules {
 	return Rules{LoadBurst: 6, LoadRatio: 0.15, LoadWindow: 2 * time.Second, DrainGrace: time.Second, OverloadTimes: 2,
-		OverloadSpan: time.Second, ColdFrom: 0.3, WarmAfter: 4 * time.Second, WorkerRate: 100}
+		OverloadSpan: time.Second, ColdFrom: 0.3, WarmAfter: 4 * time.Second, WorkerRate: 50}
 }
 
 // DefaultWorker is a worker that can do what DefaultRules say.
 func DefaultWorker() WorkerConfig {
-	return WorkerConfig{Cores: 3, Queue: 40, Work: 30 * time.Millisecond, LoadTime: 30 * time.Millisecond,
+	return WorkerConfig{Cores: 3, Queue: 40, Work: 60 * time.Millisecond, LoadTime: 30 * time.Millisecond,
 		KeepAlive: time.Second}
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -61,7 +61,9 @@
 	minWorkers     = 6
 	maxWorkers     = 20
 	maxSpares      = 4
-	totalRate      = 260.0 // requests a second, over all dispatchers
+	loadOfCapacity = 0.5   // requests, as a part of what the workers can do
+	maxTotalRate   = 400.0 // ... and so many a second at most, over all dispatchers
+	burstFactor    = 3
 )
 
 // RandomPlan draws a plan from a seed. Faults overlap: each lasts up to seconds, and there are several in each second.
@@ -73,6 +75,7 @@
 		Workers:     minWorkers + random.IntN(maxWorkers-minWorkers+1),
 		Length:      length,
 	}
+	totalRate := min(loadOfCapacity*float64(plan.Workers)*DefaultRules().WorkerRate, maxTotalRate)
 	plan.Load = Load{
 		Rate:        totalRate / float64(plan.Dispatchers),
 		Functions:   20 + random.IntN(60),
@@ -85,7 +88,7 @@
 		plan.Steps = append(plan.Steps, randomSteps(random, length))
 	}
 	kinds := []FaultKind{FaultReload, FaultReload, FaultTerminate, FaultKill, FaultCrashWorker, FaultReplaceWorker,
-		FaultHangWorker, FaultFreezeWorker, FaultFlush, FaultReset, FaultReset, FaultHangBoard, FaultNewFunctions, FaultBurst}
+		FaultHangWorker, FaultFreezeWorker, FaultFlush, FaultReset, FaultReset, FaultHangBoard, FaultNewFunctions, FaultBurst, FaultCrashWorker, FaultBurst}
 	for range int(length.Seconds() * (1.5 + 2*random.Float64())) {
 		plan.Faults = append(plan.Faults, randomFault(random, kinds, plan))
 	}
@@ -220,7 +223,7 @@
 		f.SetLoad(load)
 	case FaultBurst:
 		load := p.plan.Load
-		load.Rate *= 2
+		load.Rate *= burstFactor
 		f.SetLoad(load)
 		time.Sleep(fault.Length)
 		f.SetLoad(p.plan.Load)
