Bound a worker's age by how late its news may be, whatever clock its start was told by

The translation of starts relied on the list telling all starts by one true clock. One worker whose clock was an hour ahead would have made all others that started lately look an hour old, and so warm; one that was an hour behind, itself; a restart after a step back would not have been noticed. TestStartTimesHoldWithWrongClocksOfOthers fails without it.

--- a/internal/balancer/starttimes.go
+++ b/internal/balancer/starttimes.go
@@ -2,21 +2,33 @@
 
 import "time"
 
-// StartTimes translates the starts of workers, which the endpoint list tells by its own clock, into the
+// maxNewsDelay is how late news of the endpoint list may be, for as long as the list is followed (source:
+// client protocol, figures).
+const maxNewsDelay = 7 * time.Second
+
+// StartTimes translates the starts of workers, which the endpoint list tells by other clocks, into the
 // balancer's time. It never looks at this machine's wall clock, which may be wrong by hours, at the start of
 // the program or after a step.
 //
 // A start that is told has happened. So the list's clock was at least there when the balancer's clock was at
-// the moment of the news, and the largest difference of the two seen so far is the best one known. A start is
-// thereby never taken for earlier than it was, and a worker never for warmer than it is. It is taken for
-// later by as much as the news of the latest start was late; at the start of the program, the latest start of
-// the list counts as one of this moment.
+// the moment of the news, and the largest difference of the two seen so far is the best one known. While the
+// list's clock runs true, a start is thereby never taken for earlier than it was, and a worker never for
+// warmer than it is. It is taken for later by as much as the news of the latest start was late; in the first
+// list, the latest start counts as one of this moment.
 //
-// It relies on the list telling all starts by one clock.
+// Should the list's clock be wrong, or not be one clock, then the age of a worker that starts while the list
+// is followed is still at most maxNewsDelay when the news comes.
 type StartTimes struct {
-	known  bool
-	offset time.Duration // of the list's clock against the balancer's, at least
-	starts map[WorkerID]translatedStart
+	hasList   bool          // the first list was taken in
+	hasOffset bool          // a start was told
+	offset    time.Duration // of the list's clock against the balancer's, at least
+	starts    map[WorkerID]translatedStart
+}
+
+// ToldStart is a start as the endpoint list tells it.
+type ToldStart struct {
+	ID   WorkerID
+	Time time.Duration // by the list's clock; 0: long ago
 }
 
 // translatedStart is the last start of a worker.
@@ -25,36 +37,43 @@
 	started time.Duration // in the balancer's time
 }
 
-// NewStartTimes returns a translation that knows no starts yet.
+// NewStartTimes returns a translation that knows no list yet.
 func NewStartTimes() *StartTimes { return &StartTimes{starts: map[WorkerID]translatedStart{}} }
 
-// Observe takes in a start that was told at now. All starts of an update are to be observed before the first
-// of them is translated. A start of 0 was long ago, and is ignored.
-func (s *StartTimes) Observe(now, told time.Duration) {
-	if told == 0 {
-		return
+// Translate takes in the starts of an update that comes at now, and returns them in the balancer's time, in
+// the same order; 0: long ago. A start that is told again keeps its time; one that is told with another time
+// is a new start, which is later.
+func (s *StartTimes) Translate(now time.Duration, told []ToldStart) []time.Duration {
+	for _, t := range told {
+		if t.Time > 0 && (!s.hasOffset || t.Time-now > s.offset) {
+			s.hasOffset = true
+			s.offset = t.Time - now
+		}
 	}
-	if offset := told - now; !s.known || offset > s.offset {
-		s.known = true
-		s.offset = offset
+	started := make([]time.Duration, 0, len(told))
+	for _, t := range told {
+		started = append(started, s.translateOne(now, t))
 	}
+	s.hasList = true
+	return started
 }
 
-// Translate returns the start of a worker in the balancer's time; 0: long ago. A start that is told again
-// keeps its time, and one that is told as later than the last is later.
-func (s *StartTimes) Translate(id WorkerID, told time.Duration) time.Duration {
-	if told == 0 {
+func (s *StartTimes) translateOne(now time.Duration, t ToldStart) time.Duration {
+	if t.Time <= 0 {
 		return 0
 	}
-	last := s.starts[id]
-	if last.told == told {
+	last, known := s.starts[t.ID]
+	if known && last.told == t.Time {
 		return last.started
 	}
-	started := max(told-s.offset, 1)
-	if told > last.told {
+	started := max(t.Time-s.offset, 1)
+	if s.hasList {
+		started = max(started, now-maxNewsDelay)
+	}
+	if known {
 		started = max(started, last.started+1)
 	}
-	s.starts[id] = translatedStart{told: told, started: started}
+	s.starts[t.ID] = translatedStart{told: t.Time, started: started}
 	return started
 }
 
--- a/internal/balancer/starttimes_test.go
+++ b/internal/balancer/starttimes_test.go
@@ -7,41 +7,59 @@
 	"github.com/stretchr/testify/assert"
 )
 
-// A list whose clock is at listTime when the balancer's is at 1 h.
+// A list whose clock is at listTime when the balancer's is at ownTime.
 const (
 	listTime = 50 * 365 * 24 * time.Hour
 	ownTime  = time.Hour
 )
 
+// times is what Translate returns.
+type times = []time.Duration
+
 // A worker's age is told by the differences of starts alone, so that no clock of this machine enters.
 func TestStartTimesNeverTakeAWorkerForOlderThanItIs(t *testing.T) {
 	s := NewStartTimes()
-	s.Observe(ownTime, listTime-time.Minute)
-	s.Observe(ownTime, listTime-10*time.Second)
-	assert.Equal(t, ownTime, s.Translate("newest", listTime-10*time.Second), "it may have started just now")
-	assert.Equal(t, ownTime-50*time.Second, s.Translate("older", listTime-time.Minute))
+	assert.Equal(t, times{ownTime - 50*time.Second, ownTime, 0}, s.Translate(ownTime, []ToldStart{
+		{"older", listTime - time.Minute}, {"newest", listTime - 10*time.Second}, {"long ago", 0},
+	}), "the newest of the first list may have started just now")
 
 	later := ownTime + 5*time.Second
-	s.Observe(later, listTime+4*time.Second) // the news of it is 1 s old
-	assert.Equal(t, later, s.Translate("late news", listTime+4*time.Second))
-	assert.Equal(t, later-4*time.Second, s.Translate("later news", listTime), "4 s before the one above")
-	assert.Equal(t, ownTime, s.Translate("newest", listTime-10*time.Second), "the same start keeps its time")
+	assert.Equal(t, times{later, later - 4*time.Second, ownTime}, s.Translate(later, []ToldStart{
+		{"news of 1 s ago", listTime + 4*time.Second}, {"news of 5 s ago", listTime}, {"newest", listTime - 10*time.Second},
+	}), "a start that is told again keeps its time")
+}
+
+// The age of a worker that starts while the list is followed is bounded by how late news may be, also where the clock that
+// its start was told by is off by an hour, or was set.
+func TestStartTimesHoldWithWrongClocksOfOthers(t *testing.T) {
+	s := NewStartTimes()
+	s.Translate(ownTime, []ToldStart{{"a", listTime}, {"b", listTime}})
+	now := ownTime + time.Minute
+	for name, told := range map[string][]ToldStart{
+		"an hour ahead, and another one": {{"ahead", listTime + time.Hour}, {"true", listTime + time.Minute}},
+		"an hour behind":                 {{"behind", listTime - time.Hour}},
+		"a restart after a step back":    {{"a", listTime - time.Hour}},
+	} {
+		for i, started := range s.Translate(now, told) {
+			assert.LessOrEqual(t, now-started, maxNewsDelay, "%s: %s", name, told[i].ID)
+			assert.LessOrEqual(t, started, now, "%s: %s", name, told[i].ID)
+		}
+	}
 }
 
 func TestStartTimesTellARestartFromTheSameStart(t *testing.T) {
 	s := NewStartTimes()
-	s.Observe(ownTime, listTime)
-	first := s.Translate("a", listTime)
-	s.Observe(ownTime+time.Second, listTime+time.Hour) // the first news was an hour old, as is seen now
-	assert.Greater(t, s.Translate("a", listTime+time.Minute), first, "a restart is always later")
-	assert.Zero(t, s.Translate("long ago", 0))
+	first := s.Translate(ownTime, []ToldStart{{"a", listTime}})[0]
+	now := ownTime + time.Second
+	s.Translate(now, []ToldStart{{"b", listTime + time.Hour}}) // the first news was an hour old, as is seen now
+	assert.Equal(t, times{first}, s.Translate(now, []ToldStart{{"a", listTime}}))
+	assert.Greater(t, s.Translate(now, []ToldStart{{"a", listTime + time.Minute}})[0], first, "a restart is later")
 	s.Forget("a")
-	assert.Equal(t, ownTime+time.Second-time.Hour, s.Translate("a", listTime))
+	assert.Equal(t, times{now - maxNewsDelay}, s.Translate(now, []ToldStart{{"a", listTime}}), "as one never heard of")
 }
 
 // The list's clock may tell of starts that lie further back than the balancer's time reaches.
 func TestStartTimesStayAfterTheBeginningOfTime(t *testing.T) {
 	s := NewStartTimes()
-	s.Observe(ownTime, listTime)
-	assert.Equal(t, time.Duration(1), s.Translate("old", listTime-48*time.Hour))
+	assert.Equal(t, times{ownTime, 1}, s.Translate(ownTime, []ToldStart{{"new", listTime}, {"old", listTime - 48*time.Hour}}))
 }
--- a/internal/dispatch/endpoints.go
+++ b/internal/dispatch/endpoints.go
@@ -21,12 +21,9 @@
 func (c *Core) updateEndpoints(update discovery.Update) {
 	listed := map[balancer.WorkerID]bool{}
 	workers := make([]balancer.Worker, 0, len(update.Endpoints))
-	now := c.clock.balancerTime(time.Now())
-	for _, entry := range update.Endpoints {
-		c.startTimes.Observe(now, entry.ToldStart)
-	}
-	for _, entry := range update.Endpoints {
-		entry.Started = c.startTimes.Translate(entry.ID, entry.ToldStart)
+	starts := c.translateStarts(update.Endpoints)
+	for i, entry := range update.Endpoints {
+		entry.Started = starts[i]
 		listed[entry.ID] = true
 		workers = append(workers, entry.Worker)
 		c.updateEndpoint(entry)
@@ -40,6 +37,15 @@
 	c.endpointsKnown.Store(true)
 }
 
+// translateStarts returns the starts of the workers in the balancer's time.
+func (c *Core) translateStarts(endpoints []discovery.Endpoint) []time.Duration {
+	told := make([]balancer.ToldStart, 0, len(endpoints))
+	for _, entry := range endpoints {
+		told = append(told, balancer.ToldStart{ID: entry.ID, Time: entry.ToldStart})
+	}
+	return c.startTimes.Translate(c.clock.balancerTime(time.Now()), told)
+}
+
 // updateEndpoint brings the endpoint of one worker up to date.
 func (c *Core) updateEndpoint(entry discovery.Endpoint) {
 	e := c.endpointAt(entry.ID, entry.Addr)
