--- a/internal/balancer/attempts.go
+++ b/internal/balancer/attempts.go
@@ -16,8 +16,8 @@
 	return !r.closed && len(r.attempts) < b.settings.MaxAttempts && !b.tooLate(r)
 }
 
-// mayAttempt reports whether a request may be sent to a worker: what package permit rules for all, and what only the
-// balancer knows, the scope of keys and the slow start.
+// mayAttempt reports whether a request may be sent to a worker: what package permit rules for all, and what
+// only the balancer knows, the scope of keys and the slow start.
 func (b *Balancer) mayAttempt(r *request, w *worker) bool {
 	start := permit.Start{Worker: w.State.Permitted(), ClientGone: r.closed}
 	if start.Check() != permit.Allowed || b.tooLate(r) || b.repeat(r).Check() != permit.Allowed {
--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -34,17 +34,20 @@
 // logID returns the id of the call as the workers and the log write it.
 func (r *request) logID() string { return fmt.Sprintf("%016x", r.call.ID) }
 
-// attemptsText lists the attempts for the log: the worker and the status of each, or its state while it has not ended.
-func (r *request) attemptsText() string {
+// attemptList is the attempts of a request as a value for the log. It is put into words only if the line is written.
+type attemptList []*attempt
+
+// LogValue lists the worker and the status of each attempt.
+func (l attemptList) LogValue() slog.Value {
 	var parts []string
-	for _, a := range r.attempts {
+	for _, a := range l {
 		end := "pending"
 		if a.ended() {
 			end = a.status.String()
 		}
 		parts = append(parts, string(a.workerID)+"="+end)
 	}
-	return strings.Join(parts, " ")
+	return slog.StringValue(strings.Join(parts, " "))
 }
 
 // mayHaveRun reports whether a worker may have run an attempt of the request, or may still be running one.
@@ -93,7 +96,7 @@
 	metrics.Answers.Add(answer.Outcome.String())
 	if answer.Outcome != call.Served {
 		notServedLog.Log(slog.LevelInfo, "core: call not served", "call", r.logID(), "outcome", answer.Outcome.String(),
-			"left", time.Until(r.call.Deadline).Round(time.Millisecond), "attempts", r.attemptsText())
+			"left", time.Until(r.call.Deadline).Round(time.Millisecond), "attempts", attemptList(r.attempts))
 	}
 	c.close(r)
 	r.call.Done(answer)
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -65,7 +65,10 @@
 	assert.Zero(t, takeAll(b, time.Minute+10*time.Second-1), "the first orders still count")
 	assert.Equal(t, 0, takeAll(b, time.Minute+10*time.Second), "but the requests have left the window too")
 	assert.Equal(t, 2, takeAll(b, time.Minute+11*time.Second))
-	assert.Equal(t, Allowed, (&LoadBudget{}).Take(0), "no window: no bound")
+	unbounded := &LoadBudget{}
+	unbounded.Earn(1)
+	assert.Equal(t, Allowed, unbounded.Take(0), "no window: no bound")
+	assert.Empty(t, unbounded.requests, "and nothing is kept")
 }
 
 // Requests are taken in no order, and those that have left the window are forgotten.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -58,7 +58,7 @@
 const (
 	minDispatchers = 3
 	maxDispatchers = 12
-	minWorkers     = 6
+	minWorkers     = 7
 	maxWorkers     = 20
 	maxSpares      = 4
 	loadOfCapacity = 0.5   // requests, as a part of what the workers can do
