--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -222,7 +222,7 @@
 			add(r, "served with what no worker made for it")
 		case len(r.Answers) > 1:
 			add(r, "answered twice")
-		case len(r.Answers) == 0 && h.owesAnswer(r):
+		case len(r.Answers) == 0 && h.exemption(r) == "":
 			add(r, fmt.Sprintf("no answer; connection ended by the dispatcher after %.3f s (0: not)", since(r.ConnEnded, r.Sent)))
 		case len(r.Answers) == 1 && r.Left == 0 && r.Answers[0]-r.Sent > r.Wait+answerSlack+schedulingSlack:
 			add(r, fmt.Sprintf("answered after %.3f of %.3f s", (r.Answers[0]-r.Sent).Seconds(), r.Wait.Seconds()))
@@ -238,21 +238,26 @@
 	return (at - begin).Seconds()
 }
 
-// owesAnswer reports whether the dispatcher owes an answer to a request that has none.
-func (h *History) owesAnswer(r *Request) bool {
+// exemption says why the dispatcher owes no answer to a request that has none; empty: it owes one.
+func (h *History) exemption(r *Request) string {
 	run := h.run(r.Dispatcher, r.Run)
-	if run.Killed > 0 && run.Killed < r.Sent+r.Wait+answerSlack {
-		inTime := run.Terminated > 0 && r.Sent < run.Terminated+termGrace && run.Killed-run.Terminated >= stopTimeout
-		return inTime // killed after SIGTERM, when it had the time to answer
-	}
-	if r.Left > 0 && r.Left < r.Sent+r.Wait+answerSlack {
-		return false
-	}
-	if run.Terminated > 0 && r.Sent > run.Terminated+termGrace {
-		return false
-	}
-	crossedClose := r.ConnEnded > 0 && r.Alone && r.ConnEnded-r.Sent <= crossingTime
-	return !crossedClose
+	answerBy := r.Sent + r.Wait + answerSlack
+	switch {
+	case run.Killed > 0 && run.Killed < answerBy && !run.hadTimeToAnswer(r):
+		return "dispatcher killed"
+	case r.Left > 0 && r.Left < answerBy:
+		return "client left"
+	case run.Terminated > 0 && r.Sent > run.Terminated+termGrace:
+		return "sent long after SIGTERM"
+	case r.ConnEnded > 0 && r.Alone && r.ConnEnded-r.Sent <= crossingTime:
+		return "crossed the close of an idle connection"
+	}
+	return ""
+}
+
+// hadTimeToAnswer reports whether a process that was killed was told to end long enough before to answer a request.
+func (run DispatcherRun) hadTimeToAnswer(r *Request) bool {
+	return run.Terminated > 0 && r.Sent < run.Terminated+termGrace && run.Killed-run.Terminated >= stopTimeout
 }
 
 // checkGone looks for attempts that arrive after their client has cancelled or closed.
@@ -397,10 +402,8 @@
 		case r.Sent == 0:
 		case len(r.Answers) > 0:
 			counts["answer:"+r.Words[0]]++
-		case r.Left > 0:
-			counts["answer:none, client left"]++
 		default:
-			counts["answer:none"]++
+			counts["answer:none, "+h.exemption(r)]++
 		}
 	}
 	for _, e := range h.Workers {
--- /dev/null
+++ b/internal/soak/oracle_test.go
@@ -0,0 +1,125 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+const second = time.Second
+
+// newHistory returns a history with one dispatcher that was started at 1 s, and rules that are easy to reckon with.
+func newHistory() *History {
+	rules := Rules{LoadBurst: 1, LoadRatio: 0.5, LoadWindow: 2 * second, DrainGrace: second, OverloadTimes: 1,
+		OverloadSpan: second, ColdFrom: 1, WarmAfter: 4 * second, WorkerRate: 1}
+	return &History{Rules: rules, Dispatchers: []DispatcherRun{{Started: second}}}
+}
+
+func newRequest(sent time.Duration) *Request {
+	return &Request{ID: 7, Class: ClassNotIdempotent, Wait: second, Sent: sent}
+}
+
+func callEvent(kind WorkerEventKind, at time.Duration) WorkerEvent {
+	return WorkerEvent{At: at, Kind: kind, Worker: "s-1", Call: 7, Class: ClassNotIdempotent}
+}
+
+// Each rule is found broken where it is, and only there.
+func TestCheckFindsBrokenRules(t *testing.T) {
+	answered := newRequest(10 * second)
+	answered.Answers = []time.Duration{11 * second}
+	for name, test := range map[string]struct {
+		change func(*History)
+		want   []Rule
+	}{
+		"nothing": {func(*History) {}, nil},
+		"three load orders": {func(h *History) {
+			for range 3 {
+				h.Workers = append(h.Workers, WorkerEvent{At: 10 * second, Kind: LoadArrived})
+			}
+		}, []Rule{RuleLoads}},
+		"earned load orders": {func(h *History) {
+			for range 3 {
+				h.Workers = append(h.Workers, WorkerEvent{At: 10 * second, Kind: LoadArrived})
+				h.Requests = append(h.Requests, &Request{Sent: 9 * second, Answers: []time.Duration{9 * second}, Wait: second})
+			}
+		}, nil},
+		"run twice": {func(h *History) {
+			h.Workers = []WorkerEvent{callEvent(CallRan, 10*second), callEvent(CallRan, 12*second)}
+		}, []Rule{RuleDuplicate}},
+		"sent to a draining worker": {func(h *History) {
+			h.Notices = []Notice{{Worker: "s-1", State: stateLeaving, At: 8 * second}}
+			h.Workers = []WorkerEvent{callEvent(CallArrived, 10*second)}
+		}, []Rule{RuleDrain}},
+		"sent to one that is ready again": {func(h *History) {
+			h.Notices = []Notice{{Worker: "s-1", State: stateLeaving, At: 7 * second},
+				{Worker: "s-1", State: stateActive, At: 8 * second}}
+			h.Workers = []WorkerEvent{callEvent(CallArrived, 10*second)}
+		}, nil},
+		"no answer": {func(h *History) { h.Requests = []*Request{newRequest(10 * second)} }, []Rule{RuleLost}},
+		"client left": {func(h *History) {
+			r := newRequest(10 * second)
+			r.Left = 10*second + second/2
+			h.Requests = []*Request{r}
+		}, nil},
+		"killed": {func(h *History) {
+			h.Dispatchers[0].Killed = 10*second + second/2
+			h.Requests = []*Request{newRequest(10 * second)}
+		}, nil},
+		"killed long after SIGTERM": {func(h *History) {
+			h.Dispatchers[0].Terminated = 10 * second
+			h.Dispatchers[0].Killed = 10*second + stopTimeout
+			r := newRequest(10 * second)
+			r.Wait = 4 * second
+			h.Requests = []*Request{r}
+		}, []Rule{RuleLost}},
+		"two answers": {func(h *History) {
+			r := *answered
+			r.Answers = []time.Duration{11 * second, 11 * second}
+			h.Requests = []*Request{&r}
+		}, []Rule{RuleLost}},
+		"attempt after the client has left": {func(h *History) {
+			r := newRequest(10 * second)
+			r.Left = 10*second + second/10
+			h.Requests = []*Request{r}
+			h.Workers = []WorkerEvent{callEvent(CallArrived, 11*second)}
+		}, []Rule{RuleGone}},
+		"deadline beyond the client's": {func(h *History) {
+			h.Requests = []*Request{answered}
+			e := callEvent(CallArrived, 10*second+second/2)
+			e.Max = second
+			h.Workers = []WorkerEvent{e}
+		}, []Rule{RuleDeadline}},
+		"unknown arrival at a frozen worker": {func(h *History) {
+			h.Requests = []*Request{answered}
+			h.Freezes = []Freeze{{Worker: "s-1", Begin: 10 * second, End: 11 * second}}
+			e := callEvent(CallArrived, 11*second)
+			e.Max = second
+			h.Workers = []WorkerEvent{e}
+		}, nil},
+		"cold worker": {func(h *History) {
+			h.Notices = []Notice{{Worker: "s-1", State: stateActive, BootMS: 1, At: 9 * second}}
+			h.Workers = []WorkerEvent{{At: 9 * second, Kind: WorkerStarted, Worker: "s-1"}}
+			for range 6 {
+				h.Workers = append(h.Workers, WorkerEvent{At: 10 * second, Kind: CallArrived, Worker: "s-1"})
+			}
+		}, []Rule{RuleSlowStart}},
+		"crash": {func(h *History) { h.Dispatchers[0].Crash = "exit status 2" }, []Rule{RuleCrash}},
+		"bad frame": {func(h *History) {
+			h.Workers = []WorkerEvent{{At: 9 * second, Kind: FramesBroken, Worker: "s-1"}}
+		}, []Rule{RuleFrame}},
+	} {
+		h := newHistory()
+		test.change(h)
+		var got []Rule
+		for _, violation := range Check(h) {
+			got = append(got, violation.Rule)
+		}
+		assert.Equal(t, test.want, got, name)
+	}
+}
+
+func TestRandomPlanDependsOnTheSeedAlone(t *testing.T) {
+	assert.Equal(t, RandomPlan(3, planLength), RandomPlan(3, planLength))
+	assert.NotEqual(t, RandomPlan(3, planLength), RandomPlan(4, planLength))
+}
