--- a/internal/balancer/actions.go
+++ b/internal/balancer/actions.go
@@ -30,10 +30,11 @@
 
 // Load asks a worker to hold at least Copies of a function; 0 only asks how many it holds.
 type Load struct {
-	Worker      WorkerID
-	Function    FunctionID
-	Copies      int
-	StartWithin time.Duration // it must reach the worker within this, or not at all; 0: while its answer may come
+	Worker   WorkerID
+	Function FunctionID
+	Copies   int
+	// StartWithin is the time in which it must reach the worker, or not at all; 0: while its answer may come.
+	StartWithin time.Duration
 }
 
 // Unload removes a function's idle copies.
--- a/internal/balancer/attempts.go
+++ b/internal/balancer/attempts.go
@@ -60,13 +60,18 @@
 		MaxAttempts: b.settings.MaxAttempts,
 		Pending:     r.outstanding > 0,
 		MayHaveRun:  r.mayHaveRun(),
-		Repeatable:  r.class.Idempotency != NotIdempotent,
+		Repeatable:  r.repeatable(),
 		Hedging:     b.settings.Hedging,
 	}
 }
 
 // mustNotRepeat reports whether another attempt could run the request twice where it must not.
-func (r *request) mustNotRepeat() bool { return r.class.Idempotency == NotIdempotent && r.mayHaveRun() }
+func (r *request) mustNotRepeat() bool {
+	return permit.Repeat{MayHaveRun: r.mayHaveRun(), Repeatable: r.repeatable()}.Forbidden()
+}
+
+// repeatable reports whether the class of the request lets it run more than once.
+func (r *request) repeatable() bool { return r.class.Idempotency != NotIdempotent }
 
 // retryIsHarmless reports whether a retry of the client cannot run the request twice where it must not.
 func (r *request) retryIsHarmless() bool {
@@ -101,7 +106,7 @@
 	if r.streaming || r.cancelledForRetry || !onlyPending {
 		return false
 	}
-	if r.class.Idempotency == NotIdempotent || !b.attemptsLeft(r) || !b.retries.available() {
+	if !r.repeatable() || !b.attemptsLeft(r) || !b.retries.available() {
 		return false
 	}
 	overdue := (b.now - a.sentAt).Seconds() >= r.function.meanAnswer
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -70,8 +70,8 @@
 
 // shortestTime is the smallest of all times in the settings.
 func shortestTime(s Settings) time.Duration {
-	shortest := min(s.MinEventInterval, s.AnswerGrace, s.DrainGrace, s.SlowStartDuration, s.OverloadWindow, s.IdleTTL,
-		s.LoadTimeout, s.LoadWindow, s.PollTimeout, s.MaxRetryAfter, s.DialTimeout)
+	shortest := min(s.MinEventInterval, s.AnswerGrace, s.DrainGrace, s.SlowStartDuration, s.OverloadWindow,
+		s.IdleTTL, s.LoadTimeout, s.LoadWindow, s.PollTimeout, s.MaxRetryAfter, s.DialTimeout)
 	for _, c := range s.Classes {
 		shortest = min(shortest, c.LatencyObjective, c.Deadline, c.DedupWindow)
 	}
--- a/internal/balancer/classhealth.go
+++ b/internal/balancer/classhealth.go
@@ -29,7 +29,8 @@
 	}
 }
 
-// addFailure adds evidence of a failure, by its severity between 0 and 1. A score above the limit counts as that.
+// addFailure adds evidence of a failure, by its severity between 0 and 1. A score above the limit counts as
+// that.
 func (c *classHealth) addFailure(test failureTest, limit, severity float64) {
 	c.failureScore = math.Min(c.failureScore, limit) + severity*test.failure
 }
--- a/internal/balancer/ejection.go
+++ b/internal/balancer/ejection.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// ejection takes a worker or a zone out of placement until a probe is answered. Probes back off exponentially.
+// ejection takes a worker or a zone out of placement until a probe is answered. Probes back off
+// exponentially.
 type ejection struct {
 	active  bool
 	probeAt time.Duration // no probe before this
--- a/internal/balancer/estimates.go
+++ b/internal/balancer/estimates.go
@@ -10,18 +10,19 @@
 // elsewhere.
 
 const (
-	smoothing            = 0.1             // weight of a new sample in a running mean
-	fleetSmoothing       = smoothing / 4   // ... over the whole fleet
-	minPositiveEstimate  = 1e-6            // keeps divisors above zero
-	minAnswerTime        = 0.01            // seconds; the shortest that a mean answer is taken for
-	maxCallWeight        = 10.0            // one request counts as this many of mean work at most
-	maxFunctionRatio     = 10.0            // an answer counts as this many usual ones at most
-	initialConcurrency   = 12.0            // in flight to a worker from all dispatchers at first; half at least
-	latencyPrior         = 1.5             // a latency ratio starts with this many usual answers ...
-	latencyDecay         = 3 * time.Second // ... and a worker's own are forgotten with this time constant
-	silenceFactor        = 10.0            // a worker is silent after this many mean answer times
-	maxZoneAttemptFactor = 2.0             // one attempt counts for so many mean answer times of its zone at most: any may be long
-	concurrencyDecrease  = 0.8             // a concurrency window shrinks to this part
+	smoothing           = 0.1             // weight of a new sample in a running mean
+	fleetSmoothing      = smoothing / 4   // ... over the whole fleet
+	minPositiveEstimate = 1e-6            // keeps divisors above zero
+	minAnswerTime       = 0.01            // seconds; the shortest that a mean answer is taken for
+	maxCallWeight       = 10.0            // one request counts as this many of mean work at most
+	maxFunctionRatio    = 10.0            // an answer counts as this many usual ones at most
+	initialConcurrency  = 12.0            // in flight to a worker from all dispatchers at first; half at least
+	latencyPrior        = 1.5             // a latency ratio starts with this many usual answers ...
+	latencyDecay        = 3 * time.Second // ... and a worker's own are forgotten with this time constant
+	silenceFactor       = 10.0            // a worker is silent after this many mean answer times
+	// One attempt counts for so many mean answer times of its zone at most: any may be long.
+	maxZoneAttemptFactor = 2.0
+	concurrencyDecrease  = 0.8 // a concurrency window shrinks to this part
 )
 
 // warmth is the part of its capacity that a worker has for certain.
@@ -107,7 +108,8 @@
 	}
 }
 
-// recordAnswerTime takes an answer time, in seconds, into the running means of the function, worker and fleet.
+// recordAnswerTime takes an answer time, in seconds, into the running means of the function, worker and
+// fleet.
 func (b *Balancer) recordAnswerTime(a *attempt, elapsed float64) {
 	f := a.request.function
 	latency := &a.worker.latency
@@ -123,7 +125,8 @@
 	b.stats.answers.add(b.now, 1, callDecay)
 }
 
-// recordLatency takes an answer time into its worker's latency ratio; without an answer, one that was overdue.
+// recordLatency takes an answer time into its worker's latency ratio; without an answer, one that was
+// overdue.
 func (b *Balancer) recordLatency(a *attempt, e OutcomeEvent) {
 	elapsed := e.Elapsed.Seconds()
 	overdue := elapsed > a.expected && (e.Status == TimedOut || e.Status == Cancelled)
@@ -132,7 +135,8 @@
 	}
 }
 
-// unansweredTime is how far an attempt without an answer for so long counts towards its zone being unreachable.
+// unansweredTime is how far an attempt without an answer for so long counts towards its zone being
+// unreachable.
 func (b *Balancer) unansweredTime(z *zone, wait time.Duration) time.Duration {
 	return max(0, min(wait, b.now-z.lastContact, seconds(maxZoneAttemptFactor*b.stats.meanAnswer)))
 }
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -71,7 +71,8 @@
 	w.ejection.end()
 }
 
-// forgetRemoved drops workers that left so long ago that on their return they would be warm, or have a new start.
+// forgetRemoved drops workers that left so long ago that on their return they would be warm, or have a new
+// start.
 func (b *Balancer) forgetRemoved() {
 	memory := b.settings.SlowStartDuration + b.settings.OverloadWindow
 	for id, w := range b.workers {
--- a/internal/balancer/function.go
+++ b/internal/balancer/function.go
@@ -26,8 +26,8 @@
 	erroredWorkers []*worker // that returned the last of them
 	references     int       // unanswered requests and pending load orders
 
-	// The group: the workers that serve it in turn, groupSize of them from groupStart in rendezvous order. A rare
-	// function has a group of one, its primary worker.
+	// The group: the workers that serve it in turn, groupSize of them from groupStart in rendezvous order. A
+	// rare function has a group of one, its primary worker.
 	hot             bool
 	groupStart      int
 	groupSize       int
@@ -65,8 +65,8 @@
 	return f
 }
 
-// countError notes an error, and reports whether the function is known, so that the error says something of the worker
-// or the store.
+// countError notes an error, and reports whether the function is known, so that the error says something of
+// the worker or the store.
 func (f *function) countError(now time.Duration) (known bool) {
 	if !f.known {
 		f.errors++
--- a/internal/balancer/hash.go
+++ b/internal/balancer/hash.go
@@ -22,7 +22,8 @@
 	return mix(h.Sum64())
 }
 
-// rendezvousKey is a worker's key in the weighted rendezvous order of a function: the smallest key comes first.
+// rendezvousKey is a worker's key in the weighted rendezvous order of a function: the smallest key comes
+// first.
 func rendezvousKey(function, worker uint64, weight float64) float64 {
 	return -math.Log(unitInterval(mix(function^worker))) / weight
 }
--- a/internal/balancer/latency.go
+++ b/internal/balancer/latency.go
@@ -17,9 +17,11 @@
 	h.expectedTime.add(now, expected, decay)
 }
 
-// ratio is the answer time against the expected time. Pending attempts count once they are overdue. A prior, in
-// seconds, stands for answers that took the expected time.
-func (h *latencyHistory) ratio(now time.Duration, prior float64, decay time.Duration, pending []*attempt) float64 {
+// ratio is the answer time against the expected time. Pending attempts count once they are overdue. A prior,
+// in seconds, stands for answers that took the expected time.
+func (h *latencyHistory) ratio(
+	now time.Duration, prior float64, decay time.Duration, pending []*attempt,
+) float64 {
 	answerTime := prior + h.answerTime.add(now, 0, decay)
 	expected := prior + h.expectedTime.add(now, 0, decay)
 	for _, a := range pending {
--- a/internal/balancer/loadbudget.go
+++ b/internal/balancer/loadbudget.go
@@ -6,7 +6,8 @@
 	"kitefall/internal/permit"
 )
 
-// loadBudget bounds load orders: in flight by a window, and over time by the requests that workers have taken.
+// loadBudget bounds load orders: in flight by a window, and over time by the requests that workers have
+// taken.
 type loadBudget struct {
 	inFlight int
 	window   concurrencyWindow
@@ -41,8 +42,8 @@
 	p.ordered = false
 }
 
-// maxOrderDelay is how long a load order may take to its worker: one connection that does not come up in time, and
-// another.
+// maxOrderDelay is how long a load order may take to its worker: one connection that does not come up in
+// time, and another.
 func (s *Settings) maxOrderDelay() time.Duration { return min(2*s.DialTimeout, s.LoadWindow/2) }
 
 // loadsOnOrderOnly reports whether workers load a function when they are ordered to, and not on a miss.
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// request is one request of a client and its attempts. It is closed once the client has its final answer or has left.
+// request is one request of a client and its attempts. It is closed once the client has its final answer or
+// has left.
 type request struct {
 	RequestEvent
 	class             *Class
--- a/internal/balancer/slowstart.go
+++ b/internal/balancer/slowstart.go
@@ -1,6 +1,10 @@
 package balancer
 
-import "math"
+import (
+	"math"
+
+	"kitefall/internal/permit"
+)
 
 // slowStartMargin is how many standard deviations of chance are kept clear of the overload limit.
 const slowStartMargin = 3.0
@@ -22,7 +26,7 @@
 	}
 	window := b.settings.OverloadWindow
 	dispatchers := float64(b.settings.Dispatchers)
-	w.slowStart.sends = after(w.slowStart.sends, b.now-window)
+	w.slowStart.sends = permit.After(w.slowStart.sends, b.now-window)
 	budget := b.settings.OverloadMultiple * warmth * b.answerRate(r, w) * window.Seconds()
 	budget += slowStartMargin * (slowStartMargin/2 - math.Sqrt(budget+slowStartMargin*slowStartMargin/4))
 	if float64(len(w.slowStart.sends)+1) > math.Max(1, budget/dispatchers) {
--- a/internal/balancer/starttimes.go
+++ b/internal/balancer/starttimes.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// maxNewsDelay is how late news of the endpoint list may be, for as long as the list is followed (source:
-// client protocol, figures).
-const maxNewsDelay = 7 * time.Second
+// maxNotificationDelay is how late news of the endpoint list may be, for as long as the list is followed
+// (source: client protocol, figures).
+const maxNotificationDelay = 7 * time.Second
 
 // StartTimes translates the starts of workers, which the endpoint list tells by other clocks, into the
 // balancer's time. It never looks at this machine's wall clock, which may be wrong by hours, at the start of
@@ -17,7 +17,7 @@
 // list, the latest start counts as one of this moment.
 //
 // Should the list's clock be wrong, or not be one clock, then the age of a worker that starts while the list
-// is followed is still at most maxNewsDelay when the news comes.
+// is followed is still at most maxNotificationDelay when the news comes.
 type StartTimes struct {
 	hasList   bool          // the first list was taken in
 	hasOffset bool          // a start was told
@@ -25,8 +25,8 @@
 	starts    map[WorkerID]translatedStart
 }
 
-// ToldStart is a start as the endpoint list tells it.
-type ToldStart struct {
+// ReportedStart is a start as the endpoint list tells it.
+type ReportedStart struct {
 	ID   WorkerID
 	Time time.Duration // by the list's clock; 0: long ago
 }
@@ -43,7 +43,7 @@
 // Translate takes in the starts of an update that comes at now, and returns them in the balancer's time, in
 // the same order; 0: long ago. A start that is told again keeps its time; one that is told with another time
 // is a new start, which is later.
-func (s *StartTimes) Translate(now time.Duration, told []ToldStart) []time.Duration {
+func (s *StartTimes) Translate(now time.Duration, told []ReportedStart) []time.Duration {
 	for _, t := range told {
 		if t.Time > 0 && (!s.hasOffset || t.Time-now > s.offset) {
 			s.hasOffset = true
@@ -58,7 +58,7 @@
 	return started
 }
 
-func (s *StartTimes) translateOne(now time.Duration, t ToldStart) time.Duration {
+func (s *StartTimes) translateOne(now time.Duration, t ReportedStart) time.Duration {
 	if t.Time <= 0 {
 		return 0
 	}
@@ -68,7 +68,7 @@
 	}
 	started := max(t.Time-s.offset, 1)
 	if s.hasList {
-		started = max(started, now-maxNewsDelay)
+		started = max(started, now-maxNotificationDelay)
 	}
 	if known {
 		started = max(started, last.started+1)
--- a/internal/balancer/warmup.go
+++ b/internal/balancer/warmup.go
@@ -12,7 +12,8 @@
 	sends     []time.Duration // this dispatcher's recent attempts there, while it is active
 }
 
-// warmth is the part of its capacity that a worker has for certain: from floor at its start to 1 after duration.
+// warmth is the part of its capacity that a worker has for certain: from floor at its start to 1 after
+// duration.
 func (s *slowStart) warmth(now time.Duration, floor float64, duration time.Duration) float64 {
 	if !s.active {
 		return 1
--- a/internal/control/operations.go
+++ b/internal/control/operations.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	clock := monotonic.Start(time.Now()) // nothing that only reads needs the store's own
+	var clock *monotonic.Clock // operations that only read need none
 	if !readOnly {
 		if clock, err = s.StartClock(time.Now(), monotonic.ReadUptime()); err != nil {
 			return nil, nil, errors.Join(err, s.Close())
--- a/internal/discovery/protocol.go
+++ b/internal/discovery/protocol.go
@@ -54,8 +54,8 @@
 // the start by a clock of its own.
 type Endpoint struct {
 	balancer.Worker
-	Addr      string        // host:port; may be empty in an update of scope balancer.ScopeDelta
-	ToldStart time.Duration // since 1970 by the list's clock, which may differ from this machine's by any time; 0: long ago
+	Addr          string        // host:port; may be empty in an update of scope balancer.ScopeDelta
+	ReportedStart time.Duration // since 1970 by the list's clock, which may differ from this machine's by any time; 0: long ago
 }
 
 // Update is one event of the endpoint list, translated.
@@ -99,7 +99,7 @@
 	if t.CapacityHint != nil {
 		worker.Weight = *t.CapacityHint
 	}
-	return Endpoint{Worker: worker, Addr: t.Endpoint, ToldStart: time.Duration(t.BootMS) * time.Millisecond}
+	return Endpoint{Worker: worker, Addr: t.Endpoint, ReportedStart: time.Duration(t.BootMS) * time.Millisecond}
 }
 
 func workerState(state string) balancer.WorkerState {
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -77,7 +77,7 @@
 	seeded, changed := (*updates)[0], (*updates)[1]
 	assert.Equal(t, balancer.ScopeStale, seeded.Scope)
 	assert.Equal(t, discovery.Endpoint{Addr: "10.1.0.9:4100", Worker: balancer.Worker{ID: "s-1", Kind: "std", Zone: "east",
-		Cell: 2, Weight: 4}, ToldStart: 7 * time.Millisecond}, seeded.Endpoints[0])
+		Cell: 2, Weight: 4}, ReportedStart: 7 * time.Millisecond}, seeded.Endpoints[0])
 	assert.Equal(t, balancer.ScopeDelta, changed.Scope)
 	assert.Equal(t, []balancer.WorkerState{balancer.Draining, balancer.Ready},
 		[]balancer.WorkerState{changed.Endpoints[0].State, changed.Endpoints[1].State})
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -83,3 +83,19 @@
 		assert.Len(t, c.requests[c.lastID].attempts, 1, "it is attempted at the worker")
 	}
 }
+
+// The balancer learns of workers' starts in its own time: the list's clock may be any time away.
+func TestStartsAreTranslatedForTheBalancer(t *testing.T) {
+	c := newStoppedCore(t, 4, idempotentSettings())
+	scripted := &recordingBalancer{}
+	c.balancer = scripted
+	old, young, ageless := newEndpoint("old"), newEndpoint("young"), newEndpoint("ageless")
+	old.ReportedStart = 400 * 24 * time.Hour
+	young.ReportedStart = old.ReportedStart + time.Minute
+	before := c.clock.balancerTime(time.Now())
+	c.updateEndpoints(discovery.Update{Endpoints: []discovery.Endpoint{old, young, ageless}})
+	workers := scripted.events[0].(balancer.EndpointsEvent).Workers
+	assert.GreaterOrEqual(t, workers[1].Started, before, "the latest may have started just now")
+	assert.Equal(t, time.Minute, workers[1].Started-workers[0].Started)
+	assert.Zero(t, workers[2].Started)
+}
--- a/internal/dispatch/endpoints.go
+++ b/internal/dispatch/endpoints.go
@@ -39,9 +39,9 @@
 
 // translateStarts returns the starts of the workers in the balancer's time.
 func (c *Core) translateStarts(endpoints []discovery.Endpoint) []time.Duration {
-	told := make([]balancer.ToldStart, 0, len(endpoints))
+	told := make([]balancer.ReportedStart, 0, len(endpoints))
 	for _, entry := range endpoints {
-		told = append(told, balancer.ToldStart{ID: entry.ID, Time: entry.ToldStart})
+		told = append(told, balancer.ReportedStart{ID: entry.ID, Time: entry.ReportedStart})
 	}
 	return c.startTimes.Translate(c.clock.balancerTime(time.Now()), told)
 }
--- a/internal/frontend/resp/server_test.go
+++ b/internal/frontend/resp/server_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"io"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"kitefall/internal/fakes"
 	"kitefall/internal/frontend/resp"
@@ -49,6 +52,24 @@
 	assert.Equal(t, "1 ok  done", waiting.receive())
 }
 
+// A client that writes a request slowly is waited for within its time, whatever the wall clock does. Many sweeps look at
+// it meanwhile: with a jittering wall clock (package wallstep) any use of that would close the connection.
+func TestSlowRequestIsWaitedFor(t *testing.T) {
+	const manySweeps = 300 * time.Millisecond
+	timeouts := resp.Timeouts{FirstRequest: 50 * time.Millisecond, Request: time.Minute, Idle: time.Minute}
+	_, connect := startServerWith(t, defaultMaxConns, timeouts, fakes.NewWorker(t))
+	slow := connect()
+	slow.sendCommand("CHECK", "1", "")
+	slow.receive()
+	slow.sendRaw("*3\r\n$5\r\nCHE")
+	require.NoError(t, slow.SetReadDeadline(time.Now().Add(manySweeps)))
+	_, err := slow.reader.ReadByte()
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "it is open still")
+	require.NoError(t, slow.SetReadDeadline(fakes.Deadline()))
+	slow.sendRaw("CK\r\n$1\r\n2\r\n$0\r\n\r\n")
+	assert.Equal(t, "2 yes", strings.TrimSpace(slow.receive()))
+}
+
 // With all connections taken, the next one is accepted in place of an idle one, silent ones first.
 func TestIdleConnectionsMakeRoomForNewOnes(t *testing.T) {
 	w := fakes.NewWorker(t)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -7,19 +7,17 @@
 import (
 	"expvar"
 	"log/slog"
-	"maps"
-	"slices"
 	"strings"
 )
 
 // publishedName is the name of the counters among the variables of package expvar.
 const publishedName = "kitefall"
 
+// published holds the counters by name. It comes first, since each counter is published as it is made.
+var published = expvar.NewMap(publishedName)
+
 // Counter is a family of counts, one for each label.
-type Counter struct {
-	name   string
-	labels *expvar.Map
-}
+type Counter struct{ labels *expvar.Map }
 
 // The counters.
 var (
@@ -38,20 +36,11 @@
 	Violations = newCounter("violations")
 )
 
-var (
-	published = expvar.NewMap(publishedName)
-	counters  = map[string]*Counter{}
-)
-
+// newCounter returns a counter, which is published under its name.
 func newCounter(name string) *Counter {
-	return &Counter{name: name, labels: new(expvar.Map).Init()}
-}
-
-func init() {
-	for _, c := range []*Counter{Answers, Attempts, ClockSteps, LoadOrders, Refusals, Violations} {
-		counters[c.name] = c
-		published.Set(c.name, c.labels)
-	}
+	c := &Counter{labels: new(expvar.Map).Init()}
+	published.Set(name, c.labels)
+	return c
 }
 
 // Add counts one more for the label.
@@ -69,17 +58,17 @@
 // Log writes all counts that are not zero in one line, sorted by name.
 func Log() {
 	var attributes []any
-	for _, name := range slices.Sorted(maps.Keys(counters)) {
-		if text := counters[name].text(); text != "" {
-			attributes = append(attributes, slog.String(name, text))
+	published.Do(func(counter expvar.KeyValue) {
+		if text := countsText(counter.Value.(*expvar.Map)); text != "" {
+			attributes = append(attributes, slog.String(counter.Key, text))
 		}
-	}
+	})
 	slog.Info("metrics", attributes...)
 }
 
-// text returns the counts as "label=count label=count".
-func (c *Counter) text() string {
+// countsText returns the counts of a counter as "label=count label=count".
+func countsText(labels *expvar.Map) string {
 	var parts []string
-	c.labels.Do(func(label expvar.KeyValue) { parts = append(parts, label.Key+"="+label.Value.String()) })
+	labels.Do(func(label expvar.KeyValue) { parts = append(parts, label.Key+"="+label.Value.String()) })
 	return strings.Join(parts, " ")
 }
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -12,7 +12,7 @@
 	c.Add("a")
 	c.Add("b")
 	assert.Equal(t, []int64{1, 2, 0}, []int64{c.Get("a"), c.Get("b"), c.Get("c")})
-	assert.Equal(t, "a=1 b=2", c.text())
+	assert.Equal(t, "a=1 b=2", countsText(c.labels))
 }
 
 func TestCountersArePublished(t *testing.T) {
--- a/internal/monotonic/steps.go
+++ b/internal/monotonic/steps.go
@@ -21,17 +21,21 @@
 // operators, who compare the times of the log with those of other machines. It is not safe for concurrent use.
 type StepDetector struct {
 	start  time.Time
+	wall   time.Time     // start without its monotonic reading
 	offset time.Duration // of the wall clock against the monotonic clock since start, when it was last looked at
 }
 
 // NewStepDetector returns a detector of steps from now on.
-func NewStepDetector() *StepDetector { return &StepDetector{start: time.Now()} }
+func NewStepDetector() *StepDetector {
+	now := time.Now()
+	return &StepDetector{start: now, wall: now.Round(0)} // Round strips the monotonic reading
+}
 
 // Check compares the clocks as read at now, a result of time.Now, and logs and counts a step since the last check. It
 // returns the step; 0: none.
 func (d *StepDetector) Check(now time.Time) time.Duration {
 	elapsed := now.Sub(d.start)
-	wallElapsed := now.Round(0).Sub(d.start.Round(0)) // Round strips the monotonic reading
+	wallElapsed := now.Round(0).Sub(d.wall)
 	step := wallElapsed - elapsed - d.offset
 	if step.Abs() < minStep {
 		return 0
--- a/internal/permit/attempt.go
+++ b/internal/permit/attempt.go
@@ -45,10 +45,13 @@
 	Hedging     bool // two attempts may be pending at a time
 }
 
+// Forbidden reports whether another attempt could run the request twice where it must not.
+func (r Repeat) Forbidden() bool { return r.MayHaveRun && !r.Repeatable }
+
 // Check returns Allowed, or why there may not be another attempt.
 func (r Repeat) Check() Reason {
 	switch {
-	case r.MayHaveRun && !r.Repeatable:
+	case r.Forbidden():
 		return RepeatForbidden
 	case r.Pending && !r.Hedging:
 		return AttemptPending
--- a/internal/permit/loadbudget.go
+++ b/internal/permit/loadbudget.go
@@ -26,7 +26,7 @@
 	}
 	i, _ := slices.BinarySearch(b.requests, at)
 	b.requests = slices.Insert(b.requests, i, at)
-	b.requests = after(b.requests, at-b.Window)
+	b.requests = After(b.requests, at-b.Window)
 }
 
 // Take takes one order from the budget and returns Allowed, or BudgetSpent. Times must not go back.
@@ -34,8 +34,8 @@
 	if b.Window == 0 {
 		return Allowed
 	}
-	b.orders = after(b.orders, now-b.Window-b.Margin)
-	b.requests = after(b.requests, now-b.Window+b.Margin)
+	b.orders = After(b.orders, now-b.Window-b.Margin)
+	b.requests = After(b.requests, now-b.Window+b.Margin)
 	limit := b.Burst + b.Ratio*float64(len(b.requests))
 	if float64(len(b.orders)+1) > limit {
 		return BudgetSpent
@@ -44,8 +44,8 @@
 	return Allowed
 }
 
-// after returns the times later than a bound, of times that are sorted.
-func after(times []time.Duration, bound time.Duration) []time.Duration {
+// After returns the times later than a bound, of times that are sorted. The result shares their memory.
+func After(times []time.Duration, bound time.Duration) []time.Duration {
 	i, _ := slices.BinarySearch(times, bound+1)
 	return times[i:]
 }
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -46,6 +46,13 @@
 	assert.Equal(t, InUse, Connection{Unwritten: 1}.Check())
 }
 
+func TestAfter(t *testing.T) {
+	times := []time.Duration{1, 2, 2, 3}
+	assert.Equal(t, []time.Duration{3}, After(times, 2))
+	assert.Empty(t, After(times, 3))
+	assert.Equal(t, times, After(times, 0))
+}
+
 // takeAll takes orders at a time until the budget is spent, and returns how many it gave.
 func takeAll(b *LoadBudget, now time.Duration) int {
 	taken := 0
