--- a/internal/soak/board.go
+++ b/internal/soak/endpointlist.go
@@ -18,11 +18,11 @@
 	stateLeft    = "left"
 )
 
-// toldAfter is when a change counts as told although it has not arrived (source: client protocol, figures).
-const toldAfter = 7 * time.Second
+// notifiedAfter is when a change counts as told although it has not arrived (source: client protocol, figures).
+const notifiedAfter = 7 * time.Second
 
-// boardTarget is one worker in an event.
-type boardTarget struct {
+// listTarget is one worker in an event.
+type listTarget struct {
 	UID      string `json:"uid"`
 	Endpoint string `json:"endpoint"`
 	Zone     string `json:"az"`
@@ -33,20 +33,20 @@
 	BootMS   int64  `json:"boot_ms"`
 }
 
-type boardEvent struct {
+type listEvent struct {
 	Revision int `json:"rev"`
 	Pool     struct {
-		All     bool          `json:"all"`
-		Targets []boardTarget `json:"targets"`
+		All     bool         `json:"all"`
+		Targets []listTarget `json:"targets"`
 	} `json:"pool"`
 }
 
-type boardAnswer struct {
-	Revision int          `json:"rev"`
-	Notices  []boardEvent `json:"notices"`
+type listAnswer struct {
+	Revision      int         `json:"rev"`
+	Notifications []listEvent `json:"notices"`
 }
 
-// change is a change of the endpoint list, as the board keeps it.
+// change is a change of the endpoint list, as the endpoint list keeps it.
 type change struct {
 	at     time.Duration
 	worker *workerHandle
@@ -54,8 +54,8 @@
 	bootMS int64
 }
 
-// board is the endpoint list. The first revision is the whole list, and each change is another one.
-type board struct {
+// endpointList is the endpoint list. The first revision is the whole list, and each change is another one.
+type endpointList struct {
 	fleet *Fleet
 
 	mu        sync.Mutex
@@ -63,13 +63,15 @@
 	changes   []change
 	changed   chan struct{} // closed at each change, and replaced
 	hangUntil time.Duration // polls are not answered before
-	notices   []Notice
+	notices   []Notification
 }
 
-func newBoard(f *Fleet) *board { return &board{fleet: f, changed: make(chan struct{})} }
+func newEndpointList(f *Fleet) *endpointList {
+	return &endpointList{fleet: f, changed: make(chan struct{})}
+}
 
 // add adds a change.
-func (b *board) add(worker *workerHandle, state string, bootMS int64) {
+func (b *endpointList) add(worker *workerHandle, state string, bootMS int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.changes = append(b.changes, change{at: Now(), worker: worker, state: state, bootMS: bootMS})
@@ -78,18 +80,18 @@
 }
 
 // hang has polls go unanswered for a time.
-func (b *board) hang(length time.Duration) {
+func (b *endpointList) hang(length time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.hangUntil = Now() + length
 }
 
 // revisionLocked is the last revision.
-func (b *board) revisionLocked() int { return 1 + len(b.changes) }
+func (b *endpointList) revisionLocked() int { return 1 + len(b.changes) }
 
 // eventLocked returns the event of a revision as a dispatcher sees it.
-func (b *board) eventLocked(dispatcher, revision int) boardEvent {
-	var event boardEvent
+func (b *endpointList) eventLocked(dispatcher, revision int) listEvent {
+	var event listEvent
 	event.Revision = revision
 	if revision == 1 {
 		event.Pool.All = true
@@ -98,12 +100,12 @@
 		}
 		return event
 	}
-	event.Pool.Targets = []boardTarget{b.changes[revision-2].target(dispatcher)}
+	event.Pool.Targets = []listTarget{b.changes[revision-2].target(dispatcher)}
 	return event
 }
 
 // latestLocked returns the last change of each worker, in the order of their first.
-func (b *board) latestLocked() []change {
+func (b *endpointList) latestLocked() []change {
 	var latest []change
 	index := map[string]int{}
 	for _, c := range append(slices.Clone(b.first), b.changes...) {
@@ -118,34 +120,34 @@
 }
 
 // known returns the whole list as one event, for a dispatcher that starts now.
-func (b *board) known(dispatcher int) boardAnswer {
+func (b *endpointList) known(dispatcher int) listAnswer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var event boardEvent
+	var event listEvent
 	event.Revision = b.revisionLocked()
 	event.Pool.All = true
 	for _, c := range b.latestLocked() {
 		event.Pool.Targets = append(event.Pool.Targets, c.target(dispatcher))
 	}
-	return boardAnswer{Revision: event.Revision, Notices: []boardEvent{event}}
+	return listAnswer{Revision: event.Revision, Notifications: []listEvent{event}}
 }
 
 // noteKnown notes that a dispatcher's process was told the whole list at its start.
-func (b *board) noteKnown(dispatcher, run int) {
+func (b *endpointList) noteKnown(dispatcher, run int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, c := range b.latestLocked() {
-		b.noteToldLocked(dispatcher, run, c)
+		b.noteNotifiedLocked(dispatcher, run, c)
 	}
 }
 
-func (b *board) noteToldLocked(dispatcher, run int, c change) {
-	b.notices = append(b.notices, Notice{Dispatcher: dispatcher, Run: run, Worker: c.worker.uid, State: c.state,
+func (b *endpointList) noteNotifiedLocked(dispatcher, run int, c change) {
+	b.notices = append(b.notices, Notification{Dispatcher: dispatcher, Run: run, Worker: c.worker.uid, State: c.state,
 		BootMS: c.bootMS, At: Now()})
 }
 
-func (c change) target(dispatcher int) boardTarget {
-	return boardTarget{
+func (c change) target(dispatcher int) listTarget {
+	return listTarget{
 		UID:      c.worker.uid,
 		Endpoint: c.worker.addr(dispatcher),
 		Zone:     c.worker.zone,
@@ -157,7 +159,7 @@
 }
 
 // serve answers the polls of a dispatcher at an address until the returned function is called.
-func (b *board) serve(dispatcher int, addr string) (stop func(), err error) {
+func (b *endpointList) serve(dispatcher int, addr string) (stop func(), err error) {
 	listener, err := listenRetrying(addr)
 	if err != nil {
 		return nil, err
@@ -170,7 +172,7 @@
 }
 
 // poll answers once later events exist, or when the time that the dispatcher gives is over.
-func (b *board) poll(w http.ResponseWriter, r *http.Request, dispatcher int) {
+func (b *endpointList) poll(w http.ResponseWriter, r *http.Request, dispatcher int) {
 	watched, _ := strconv.Atoi(r.URL.Query().Get("watch"))
 	lingerMS, _ := strconv.Atoi(r.URL.Query().Get("linger"))
 	over := time.After(time.Duration(lingerMS) * time.Millisecond)
@@ -212,22 +214,22 @@
 }
 
 // answer writes the events after a revision. They count as told from now on.
-func (b *board) answer(w http.ResponseWriter, dispatcher, watched int) {
+func (b *endpointList) answer(w http.ResponseWriter, dispatcher, watched int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	run := b.fleet.currentRun(dispatcher)
-	answer := boardAnswer{Revision: b.revisionLocked(), Notices: []boardEvent{}}
+	answer := listAnswer{Revision: b.revisionLocked(), Notifications: []listEvent{}}
 	for revision := watched + 1; revision <= b.revisionLocked(); revision++ {
-		answer.Notices = append(answer.Notices, b.eventLocked(dispatcher, revision))
+		answer.Notifications = append(answer.Notifications, b.eventLocked(dispatcher, revision))
 		if revision > 1 {
-			b.noteToldLocked(dispatcher, run, b.changes[revision-2])
+			b.noteNotifiedLocked(dispatcher, run, b.changes[revision-2])
 		}
 	}
 	json.NewEncoder(w).Encode(answer)
 }
 
-// allNotices returns what dispatchers were told, also what counts as told without having arrived.
-func (b *board) allNotices(runs []DispatcherRun) []Notice {
+// allNotifications returns what dispatchers were told, also what counts as told without having arrived.
+func (b *endpointList) allNotifications(runs []DispatcherRun) []Notification {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	told := map[string]bool{}
@@ -241,8 +243,8 @@
 	for _, run := range runs {
 		for _, c := range b.changes {
 			if !told[key(run.Dispatcher, run.Run, c)] && c.at >= run.Started {
-				notices = append(notices, Notice{Dispatcher: run.Dispatcher, Run: run.Run, Worker: c.worker.uid,
-					State: c.state, BootMS: c.bootMS, At: c.at + toldAfter})
+				notices = append(notices, Notification{Dispatcher: run.Dispatcher, Run: run.Run, Worker: c.worker.uid,
+					State: c.state, BootMS: c.bootMS, At: c.at + notifiedAfter})
 			}
 		}
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -19,8 +19,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	d := f.dispatchers[number]
-	d.board = (d.board + 1) % boardAddresses
-	if err := f.writeConfig(number, f.board.known(number)); err != nil {
+	d.discovery = (d.discovery + 1) % discoveryAddresses
+	if err := f.writeConfig(number, f.endpoints.known(number)); err != nil {
 		return err
 	}
 	return d.cmd.Process.Signal(syscall.SIGHUP)
@@ -87,21 +87,21 @@
 	if err := w.start(); err != nil {
 		return err
 	}
-	f.board.add(w, stateActive, time.Now().UnixMilli())
+	f.endpoints.add(w, stateActive, time.Now().UnixMilli())
 	return nil
 }
 
 // ReplaceWorker drains a worker, starts a spare in its place, and ends the drained one after a time.
 func (f *Fleet) ReplaceWorker(number, spare int, drainFor time.Duration) error {
 	old, next := f.workers[number], f.workers[spare]
-	f.board.add(old, stateLeaving, 0)
+	f.endpoints.add(old, stateLeaving, 0)
 	if err := next.start(); err != nil {
 		return err
 	}
-	f.board.add(next, stateActive, time.Now().UnixMilli())
+	f.endpoints.add(next, stateActive, time.Now().UnixMilli())
 	time.Sleep(drainFor)
 	old.kill()
-	f.board.add(old, stateLeft, 0)
+	f.endpoints.add(old, stateLeft, 0)
 	return nil
 }
 
@@ -136,5 +136,5 @@
 // ResetWorker resets all connections to a worker.
 func (f *Fleet) ResetWorker(number int) { f.workers[number].signal(syscall.SIGUSR2) }
 
-// HangBoard has the endpoint list answer no polls for a time.
-func (f *Fleet) HangBoard(length time.Duration) { f.board.hang(length) }
+// HangDiscovery has the endpoint list answer no polls for a time.
+func (f *Fleet) HangDiscovery(length time.Duration) { f.endpoints.hang(length) }
--- /dev/null
+++ b/internal/soak/oracle_requests.go
@@ -0,0 +1,110 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+)
+
+func checkDuplicates(h *History) []Violation {
+	ran := map[uint64]int{}
+	var violations []Violation
+	for _, e := range h.Workers {
+		if e.Kind != CallRan || e.Class != ClassNotIdempotent {
+			continue
+		}
+		if ran[e.Call]++; ran[e.Call] == 2 {
+			violations = append(violations, Violation{RuleDuplicate, e.At, fmt.Sprintf("call %016x ran twice", e.Call)})
+		}
+	}
+	return violations
+}
+
+func checkLost(h *History) []Violation {
+	var violations []Violation
+	add := func(r *Request, text string) {
+		violations = append(violations, Violation{RuleLost, r.Sent,
+			fmt.Sprintf("request %016x to dispatcher %d run %d: %s", r.ID, r.Dispatcher, r.Run, text)})
+	}
+	for _, r := range h.Requests {
+		switch {
+		case r.Sent == 0:
+		case r.WrongBody:
+			add(r, "served with what no worker made for it")
+		case len(r.Answers) > 1:
+			add(r, "answered twice")
+		case len(r.Answers) == 0 && h.exemption(r) == "":
+			add(r, fmt.Sprintf("no answer; connection ended by the dispatcher after %.3f s (0: not)", since(r.ConnEnded, r.Sent)))
+		case len(r.Answers) == 1 && r.Left == 0 && r.Answers[0]-r.Sent > r.Wait+answerSlack+schedulingSlack:
+			add(r, fmt.Sprintf("answered after %.3f of %.3f s", (r.Answers[0]-r.Sent).Seconds(), r.Wait.Seconds()))
+		}
+	}
+	return violations
+}
+
+func since(at, begin time.Duration) float64 {
+	if at == 0 {
+		return 0
+	}
+	return (at - begin).Seconds()
+}
+
+func (h *History) exemption(r *Request) string {
+	run := h.run(r.Dispatcher, r.Run)
+	answerBy := r.Sent + r.Wait + answerSlack
+	switch {
+	case run.Killed > 0 && run.Killed < answerBy && !run.hadTimeToAnswer(r):
+		return "dispatcher killed"
+	case r.Left > 0 && r.Left < answerBy:
+		return "client left"
+	case run.Terminated > 0 && r.Sent > run.Terminated+termGrace:
+		return "sent long after SIGTERM"
+	case r.ConnEnded > 0 && r.Alone && r.ConnEnded-r.Sent <= crossingTime:
+		return "crossed the close of an idle connection"
+	}
+	return ""
+}
+
+func (run DispatcherRun) hadTimeToAnswer(r *Request) bool {
+	return run.Terminated > 0 && r.Sent < run.Terminated+termGrace && run.Killed-run.Terminated >= stopTimeout
+}
+
+func checkGone(h *History) []Violation {
+	left := map[uint64]time.Duration{}
+	for _, r := range h.Requests {
+		if r.Left > 0 {
+			left[r.ID] = r.Left
+		}
+	}
+	var violations []Violation
+	for _, e := range h.Workers {
+		at, gone := left[e.Call]
+		if e.Kind == CallArrived && gone && h.arrivalKnown(e) && e.At-at > goneSlack+timeSlack+schedulingSlack {
+			violations = append(violations, Violation{RuleGone, e.At,
+				fmt.Sprintf("call %016x arrived %.3f s after its client left", e.Call, (e.At - at).Seconds())})
+		}
+	}
+	return violations
+}
+
+func checkDeadlines(h *History) []Violation {
+	requests := map[uint64]*Request{}
+	for _, r := range h.Requests {
+		requests[r.ID] = r
+	}
+	var violations []Violation
+	for _, e := range h.Workers {
+		if e.Kind != CallArrived || !h.arrivalKnown(e) {
+			continue
+		}
+		r := requests[e.Call]
+		if r == nil || r.Sent == 0 {
+			continue
+		}
+		left := r.Wait - (e.At - r.Sent)
+		if e.Max > left+deadlineSlack+schedulingSlack {
+			violations = append(violations, Violation{RuleDeadline, e.At,
+				fmt.Sprintf("call %016x: the worker was told %s, its client had %s left", e.Call, e.Max, left)})
+		}
+	}
+	return violations
+}
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -48,11 +48,11 @@
 			h.Workers = []WorkerEvent{callEvent(CallRan, 10*second), callEvent(CallRan, 12*second)}
 		}, []Rule{RuleDuplicate}},
 		"sent to a draining worker": {func(h *History) {
-			h.Notices = []Notice{{Worker: "s-1", State: stateLeaving, At: 8 * second}}
+			h.Notifications = []Notification{{Worker: "s-1", State: stateLeaving, At: 8 * second}}
 			h.Workers = []WorkerEvent{callEvent(CallArrived, 10*second)}
 		}, []Rule{RuleDrain}},
 		"sent to one that is ready again": {func(h *History) {
-			h.Notices = []Notice{{Worker: "s-1", State: stateLeaving, At: 7 * second},
+			h.Notifications = []Notification{{Worker: "s-1", State: stateLeaving, At: 7 * second},
 				{Worker: "s-1", State: stateActive, At: 8 * second}}
 			h.Workers = []WorkerEvent{callEvent(CallArrived, 10*second)}
 		}, nil},
@@ -98,7 +98,7 @@
 			h.Workers = []WorkerEvent{e}
 		}, nil},
 		"cold worker": {func(h *History) {
-			h.Notices = []Notice{{Worker: "s-1", State: stateActive, BootMS: 1, At: 9 * second}}
+			h.Notifications = []Notification{{Worker: "s-1", State: stateActive, BootMS: 1, At: 9 * second}}
 			h.Workers = []WorkerEvent{{At: 9 * second, Kind: WorkerStarted, Worker: "s-1"}}
 			for range 6 {
 				h.Workers = append(h.Workers, WorkerEvent{At: 10 * second, Kind: CallArrived, Worker: "s-1"})
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -25,7 +25,7 @@
 	FaultFreezeWorker  FaultKind = "freeze-worker"
 	FaultFlush         FaultKind = "flush"
 	FaultReset         FaultKind = "reset"
-	FaultHangBoard     FaultKind = "hang-board"
+	FaultHangDiscovery FaultKind = "hang-discovery"
 	FaultNewFunctions  FaultKind = "new-functions"
 	FaultBurst         FaultKind = "burst"
 )
@@ -64,6 +64,8 @@
 	loadOfCapacity = 0.5   // requests, as a part of what the workers can do
 	maxTotalRate   = 400.0 // ... and so many a second at most, over all dispatchers
 	burstFactor    = 3
+	// replacementDrain is how long a worker that is replaced drains.
+	replacementDrain = 2 * time.Second
 )
 
 // RandomPlan draws a plan from a seed. Faults overlap: each lasts up to seconds, and there are several in each second.
@@ -88,7 +90,7 @@
 		plan.Steps = append(plan.Steps, randomSteps(random, length))
 	}
 	kinds := []FaultKind{FaultReload, FaultReload, FaultTerminate, FaultKill, FaultCrashWorker, FaultReplaceWorker,
-		FaultHangWorker, FaultFreezeWorker, FaultFlush, FaultReset, FaultReset, FaultHangBoard, FaultNewFunctions, FaultBurst, FaultCrashWorker, FaultBurst}
+		FaultHangWorker, FaultFreezeWorker, FaultFlush, FaultReset, FaultReset, FaultHangDiscovery, FaultNewFunctions, FaultBurst, FaultCrashWorker, FaultBurst}
 	for range int(length.Seconds() * (1.5 + 2*random.Float64())) {
 		plan.Faults = append(plan.Faults, randomFault(random, kinds, plan))
 	}
@@ -187,6 +189,17 @@
 	return true
 }
 
+// takeSpare returns the number of a worker to replace another by, and whether there is one left.
+func (p *player) takeSpare() (number int, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.nextSpare >= p.plan.Workers+maxSpares {
+		return 0, false
+	}
+	p.nextSpare++
+	return p.nextSpare - 1, true
+}
+
 func (p *player) release(process string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -204,19 +217,21 @@
 		}
 		defer p.release(process)
 		p.injectDispatcher(fault)
-	case FaultCrashWorker, FaultReplaceWorker, FaultHangWorker, FaultFreezeWorker, FaultReset:
+	case FaultCrashWorker, FaultHangWorker, FaultFreezeWorker, FaultReset:
 		process := fmt.Sprint("worker ", fault.Target)
 		if !p.take(process) {
 			return
 		}
-		if fault.Kind != FaultReplaceWorker { // a replaced one is not used again
-			defer p.release(process)
-		}
+		defer p.release(process)
 		p.injectWorker(fault)
+	case FaultReplaceWorker:
+		if !p.replaceWorker(fault) {
+			return
+		}
 	case FaultFlush:
 		f.FlushWorkers()
-	case FaultHangBoard:
-		f.HangBoard(fault.Length)
+	case FaultHangDiscovery:
+		f.HangDiscovery(fault.Length)
 	case FaultNewFunctions:
 		load := p.plan.Load
 		load.FirstFunction = int(fault.At / time.Millisecond)
@@ -249,14 +264,6 @@
 	switch fault.Kind {
 	case FaultCrashWorker:
 		err = p.fleet.CrashWorker(fault.Target, fault.Length)
-	case FaultReplaceWorker:
-		p.mu.Lock()
-		spare := p.nextSpare
-		p.nextSpare++
-		p.mu.Unlock()
-		if spare < p.plan.Workers+maxSpares {
-			err = p.fleet.ReplaceWorker(fault.Target, spare, 2*time.Second)
-		}
 	case FaultHangWorker:
 		p.fleet.HangWorker(fault.Target, fault.Length)
 	case FaultFreezeWorker:
@@ -267,6 +274,21 @@
 	p.noteError(err)
 }
 
+// replaceWorker replaces a worker, which no later fault is at work on, and reports whether that was possible.
+func (p *player) replaceWorker(fault Fault) bool {
+	process := fmt.Sprint("worker ", fault.Target)
+	if !p.take(process) {
+		return false
+	}
+	spare, ok := p.takeSpare()
+	if !ok {
+		p.release(process)
+		return false
+	}
+	p.noteError(p.fleet.ReplaceWorker(fault.Target, spare, replacementDrain))
+	return true
+}
+
 func (p *player) noteError(err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -84,8 +84,8 @@
 	Crash      string // how it ended by itself; empty: it did not
 }
 
-// Notice is word to a dispatcher that a worker is in a state.
-type Notice struct {
+// Notification is word to a dispatcher that a worker is in a state.
+type Notification struct {
 	Dispatcher int
 	Run        int
 	Worker     string
@@ -103,11 +103,11 @@
 
 // History is all that was recorded in a run.
 type History struct {
-	Rules       Rules
-	Workers     []WorkerEvent
-	Requests    []*Request
-	Dispatchers []DispatcherRun
-	Notices     []Notice
-	Freezes     []Freeze
-	Faults      map[string]int // faults injected, by kind
+	Rules         Rules
+	Workers       []WorkerEvent
+	Requests      []*Request
+	Dispatchers   []DispatcherRun
+	Notifications []Notification
+	Freezes       []Freeze
+	Faults        map[string]int // faults injected, by kind
 }
--- a/internal/soak/workerproc.go
+++ b/internal/soak/workerproc.go
@@ -16,26 +16,24 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"kitefall/internal/fakes"
 )
 
 // workerEnv holds the configuration of a worker's process.
 const workerEnv = "KITEFALL_SOAK_WORKER"
 
-// Frames of the worker protocol (source: worker protocol). They are written anew rather than taken from package worker, so
-// that a fault there does not cancel itself out.
+// Frames of the worker protocol (source: worker protocol) beside those of package fakes. They are not taken from package
+// worker, so that a fault there does not cancel itself out.
 const (
 	headSize     = 16
 	checksumSize = 4
-	answerMark   = 193
 
 	codeCall   = 48
 	codeCancel = 49
 	codePing   = 50
 	codeLoad   = 52
 	codeUnload = 54
-	codeOK     = 64
-	codeMiss   = 66
-	codeFull   = 67
 	codeError  = 68
 	codePong   = 70
 )
@@ -268,7 +266,7 @@
 		close(loading.ready)
 	}
 	<-loading.ready
-	c.answer(codeOK, f.id, "n=1", "")
+	c.answer(fakes.CodeOK, f.id, "n=1", "")
 }
 
 func (w *workerProcess) unload(function string) {
@@ -299,11 +297,11 @@
 	w.awaitResume()
 	loaded := w.use(f.fields["thing"])
 	if loaded == nil {
-		c.answer(codeMiss, f.id, "", "")
+		c.answer(fakes.CodeMiss, f.id, "", "")
 		return
 	}
 	if !w.enterQueue() {
-		c.answer(codeFull, f.id, "", "")
+		c.answer(fakes.CodeFull, f.id, "", "")
 		return
 	}
 	select {
@@ -330,7 +328,7 @@
 		c.answer(codeError, f.id, "", "")
 		return
 	}
-	c.answer(codeOK, f.id, "remark=hot", fmt.Sprintf("%016x", f.id))
+	c.answer(fakes.CodeOK, f.id, "remark=hot", fmt.Sprintf("%016x", f.id))
 }
 
 // enterQueue reports whether there is room for a call that waits for a core.
@@ -359,17 +357,10 @@
 
 // answer writes an answer. Errors are ignored: the dispatcher may be gone.
 func (c *workerConn) answer(code byte, id uint64, fields, body string) {
-	encoded := []byte{answerMark, code}
-	encoded = binary.BigEndian.AppendUint16(encoded, uint16(len(fields)))
-	encoded = binary.BigEndian.AppendUint32(encoded, uint32(len(body)))
-	encoded = binary.BigEndian.AppendUint64(encoded, id)
-	encoded = append(encoded, fields...)
-	encoded = append(encoded, body...)
-	encoded = binary.BigEndian.AppendUint32(encoded, crc32.ChecksumIEEE(encoded[headSize:]))
 	c.worker.awaitResume()
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	c.conn.Write(encoded)
+	c.conn.Write(fakes.Frame(code, id, fields, body))
 }
 
 // readCommand reads a frame of the dispatcher.
