Log how late the event loop is, why connections end, shortages and unknown settings

The evidence could not tell why a client's connection was closed, whether a process was out of descriptors, how late its event loop was, or that it was asked for an address it does not have. Counted now: closes by reason on both sides, shortages, the longest lag and the longest event; a line for keys and RELAY_ variables that are not known. No decision changes.

--- a/cmd/dispatcher/server.go
+++ b/cmd/dispatcher/server.go
@@ -74,6 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
+	conf.WarnUnknown(os.Environ())
 	s := &server{configPath: configPath, config: conf, phases: lifecycle.New(), failed: make(chan error, 2)}
 	applyLimits(conf)
 	if s.core, err = dispatch.New(coreConfig(conf)); err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -36,6 +36,7 @@
 	Seed        uint64            `json:"-"`
 	Settings    balancer.Settings `json:"-"`
 	Connections settings.Conns    `json:"-"`
+	UnknownKeys []string          `json:"-"` // of the file, without those within the settings
 }
 
 // Limits are the resources that a dispatcher may use.
@@ -56,6 +57,7 @@
 	if err := c.parse(data); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	c.UnknownKeys = unknownKeys(data)
 	c.applyDefaults()
 	return c, nil
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -40,7 +40,7 @@
 // exported methods are safe for concurrent use.
 type Core struct {
 	config  Config
-	queue   chan event
+	queue   chan queuedEvent
 	stop    chan struct{} // closed by Stop
 	stopped chan struct{} // closed when Run has returned
 
@@ -73,7 +73,7 @@
 	}
 	return &Core{
 		config:     config,
-		queue:      make(chan event, queueSize),
+		queue:      make(chan queuedEvent, queueSize),
 		stop:       make(chan struct{}),
 		stopped:    make(chan struct{}),
 		balancer:   b,
@@ -108,7 +108,7 @@
 	}
 	h := &Handle{core: c}
 	select {
-	case c.queue <- callSubmitted{call: submitted, handle: h}:
+	case c.queue <- queued(callSubmitted{call: submitted, handle: h}):
 		return h, nil
 	default:
 		c.release(submitted)
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -70,7 +70,7 @@
 // stopped, the event may be dropped.
 func (c *Core) post(e event) {
 	select {
-	case c.queue <- e:
+	case c.queue <- queued(e):
 	case <-c.stop:
 	}
 }
@@ -86,7 +86,8 @@
 		}
 		select {
 		case e := <-c.queue:
-			c.handle(e)
+			c.noteLag(e.event, time.Since(e.at))
+			c.handleTimed(e.event)
 		case <-wakeup.C:
 		case <-c.stop:
 			return
@@ -102,7 +103,8 @@
 		if due == nil {
 			return
 		}
-		c.handle(due.event)
+		c.noteLag(due.event, time.Since(due.due))
+		c.handleTimed(due.event)
 	}
 }
 
--- a/internal/frontend/resp/conn.go
+++ b/internal/frontend/resp/conn.go
@@ -51,7 +51,6 @@
 
 // readRequests handles the first request and all that follow, and closes the connection after the last.
 func (c *clientConn) readRequests(first redcon.Command) {
-	defer c.close()
 	err := c.handleRequest(first.Args)
 	for err == nil {
 		var command redcon.Command
@@ -63,7 +62,10 @@
 	if errors.Is(err, errMalformedRequest) {
 		c.server.logs.protocolError.Log(slog.LevelWarn, "frontend: connection closed after a protocol error",
 			"addr", c.remoteAddr(), "err", err)
+		c.close(closedMalformed)
+		return
 	}
+	c.close(closedByClient)
 }
 
 // handleRequest handles one request. An error ends the connection.
@@ -133,7 +135,7 @@
 }
 
 // close closes the connection and cancels the requests in flight on it. Only the first call has an effect.
-func (c *clientConn) close() {
+func (c *clientConn) close(reason closeReason) {
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
@@ -141,6 +143,7 @@
 	}
 	abandoned := c.closeLocked()
 	c.mu.Unlock()
+	reason.count()
 	c.netConn.Close()
 	for _, handle := range abandoned {
 		handle.Cancel()
@@ -148,7 +151,7 @@
 }
 
 // closeIfIdle closes the connection if nothing is in flight or unwritten on it.
-func (c *clientConn) closeIfIdle() {
+func (c *clientConn) closeIfIdle(reason closeReason) {
 	c.mu.Lock()
 	if c.closed || !c.idleLocked() {
 		c.mu.Unlock()
@@ -156,6 +159,7 @@
 	}
 	c.closeLocked() // an idle connection has no requests to cancel
 	c.mu.Unlock()
+	reason.count()
 	c.netConn.Close()
 }
 
--- a/internal/frontend/resp/connwriter.go
+++ b/internal/frontend/resp/connwriter.go
@@ -14,7 +14,7 @@
 	default:
 		// The client sends requests and does not read: it is disconnected, lest its answers fill the memory. On a
 		// goroutine of its own, which ends with that, because close takes c.mu.
-		go c.close()
+		go c.close(closedUnread)
 	}
 }
 
@@ -40,7 +40,7 @@
 func (c *clientConn) flush(buffered int, deadline time.Time) {
 	c.netConn.SetWriteDeadline(deadline)
 	if c.respConn.Flush() != nil {
-		c.close()
+		c.close(closedWriteFailed)
 	}
 	c.mu.Lock()
 	c.unwritten -= buffered
--- a/internal/frontend/resp/drain.go
+++ b/internal/frontend/resp/drain.go
@@ -18,10 +18,18 @@
 	conns := slices.Collect(maps.Keys(s.conns))
 	s.mu.Unlock()
 	for _, conn := range conns {
-		conn.closeIfIdle()
+		conn.closeIfIdle(closedWhenDraining)
 	}
 }
 
+// sweepReason is why the sweep closes a connection.
+func (s *Server) sweepReason() closeReason {
+	if s.isDraining() {
+		return closedWhenDraining
+	}
+	return closedTimedOut
+}
+
 func (s *Server) isDraining() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -31,7 +39,7 @@
 // closeIfDraining closes the connection if it is idle and the server drains.
 func (c *clientConn) closeIfDraining() {
 	if c.server.isDraining() {
-		c.closeIfIdle()
+		c.closeIfIdle(closedWhenDraining)
 	}
 }
 
--- a/internal/frontend/resp/listener.go
+++ b/internal/frontend/resp/listener.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"net"
 	"time"
+
+	"kitefall/internal/metrics"
 )
 
 // acceptRetryDelay is the pause after an accept that failed for want of descriptors or memory.
@@ -42,9 +44,10 @@
 // handleAcceptError closes the connection that is idle longest, since the process is most likely out of descriptors,
 // and pauses: redcon would try again at once and keep the processor busy.
 func (l *listener) handleAcceptError(err error) {
+	metrics.Shortages.Add("accept")
 	l.server.logs.acceptFailed.Log(slog.LevelWarn, "frontend: cannot accept a connection", "err", err)
 	if idle := l.server.longestIdle(); idle != nil {
-		idle.closeIfIdle()
+		idle.closeIfIdle(closedForShortage)
 	}
 	time.Sleep(acceptRetryDelay)
 }
@@ -58,7 +61,7 @@
 		if idle == nil {
 			break
 		}
-		idle.closeIfIdle()
+		idle.closeIfIdle(closedForRoom)
 	}
 	return !l.full()
 }
@@ -69,5 +72,6 @@
 	l.server.logs.connRejected.Log(slog.LevelWarn,
 		"frontend: connection rejected, all connections have requests in flight",
 		"addr", conn.RemoteAddr().String(), "connections", l.maxConns)
+	closedRejected.count()
 	conn.Close()
 }
--- a/internal/frontend/resp/server.go
+++ b/internal/frontend/resp/server.go
@@ -128,7 +128,7 @@
 
 func (s *Server) closeTimedOut(now time.Time) {
 	for _, conn := range s.timedOut(now) {
-		conn.closeIfIdle()
+		conn.closeIfIdle(conn.server.sweepReason())
 	}
 }
 
--- a/internal/frontend/resp/trackedconn.go
+++ b/internal/frontend/resp/trackedconn.go
@@ -63,7 +63,7 @@
 }
 
 // closeIfIdle closes the connection unless requests are in flight on it.
-func (t *trackedConn) closeIfIdle() {
+func (t *trackedConn) closeIfIdle(reason closeReason) {
 	t.server.mu.Lock()
 	client := t.client
 	if client == nil {
@@ -71,10 +71,11 @@
 	}
 	t.server.mu.Unlock()
 	if client == nil {
+		reason.count()
 		t.Close()
 		return
 	}
-	client.closeIfIdle()
+	client.closeIfIdle(reason)
 }
 
 // idleSinceLocked reports whether no request is in flight, and since when. The caller holds server.mu.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -25,15 +25,29 @@
 	Answers = newCounter("answers")
 	// Attempts counts attempts that have ended, by status.
 	Attempts = newCounter("attempts")
+	// ClientConnsClosed counts connections of clients that have ended, by reason.
+	ClientConnsClosed = newCounter("client_conns_closed")
 	// ClockSteps counts steps of the wall clock, by direction.
 	ClockSteps = newCounter("clock_steps")
 	// LoadOrders counts load orders that have ended, by status.
 	LoadOrders = newCounter("load_orders")
 	// Refusals counts what was refused at the last moment before it would have begun, by reason.
 	Refusals = newCounter("refusals")
+	// Shortages counts what failed for want of a descriptor or port of this process, by who asked for it.
+	Shortages = newCounter("shortages")
 	// Violations counts decisions that would have broken a rule and were stopped, by rule. Anything but zero is a fault of
 	// the program.
 	Violations = newCounter("violations")
+	// WorkerConnsClosed counts connections to workers that have ended, by reason.
+	WorkerConnsClosed = newCounter("worker_conns_closed")
+)
+
+// The maxima.
+var (
+	// EventLag is how long an event waited for the event loop.
+	EventLag = newMaximum("event_lag")
+	// EventTime is how long the event loop was busy with one event.
+	EventTime = newMaximum("event_time")
 )
 
 // newCounter returns a counter, which is published under its name.
@@ -55,17 +69,32 @@
 	return count.Value()
 }
 
-// Log writes all counts that are not zero in one line, sorted by name.
+// Log writes all counts and maxima that are not zero in one line, sorted by name.
 func Log() {
 	var attributes []any
-	published.Do(func(counter expvar.KeyValue) {
-		if text := countsText(counter.Value.(*expvar.Map)); text != "" {
-			attributes = append(attributes, slog.String(counter.Key, text))
+	published.Do(func(variable expvar.KeyValue) {
+		if text := valueText(variable.Value); text != "" {
+			attributes = append(attributes, slog.String(variable.Key, text))
 		}
 	})
 	slog.Info("metrics", attributes...)
 }
 
+// valueText returns the value of a published variable for the log; empty: there is nothing to tell.
+func valueText(variable expvar.Var) string {
+	switch v := variable.(type) {
+	case *expvar.Map:
+		return countsText(v)
+	case *Maximum:
+		if v.Get() == 0 {
+			return ""
+		}
+		return v.Get().String()
+	default:
+		return v.String()
+	}
+}
+
 // countsText returns the counts of a counter as "label=count label=count".
 func countsText(labels *expvar.Map) string {
 	var parts []string
--- a/internal/worker/conn.go
+++ b/internal/worker/conn.go
@@ -151,6 +151,9 @@
 func (c *conn) end(cause error, partial *PendingRequest) {
 	c.pool.mu.Lock()
 	alreadyClosed := c.state == connClosed
+	if !alreadyClosed {
+		reasonOf(cause).count()
+	}
 	if !alreadyClosed && c.logsEndLocked(cause) {
 		connEndedLog.Log(slog.LevelWarn, "worker: connection ended", "worker", c.pool.uid, "err", cause)
 	}
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -220,6 +220,7 @@
 		useless := c.state == connStale || p.state == permit.WorkerIsRemoved
 		unusedFor := now.Sub(c.lastUsed)
 		if c.idleLocked() && (useless || unusedFor > p.config.idleCloseAfter()) {
+			closedIdle.count()
 			c.closeLocked()
 		}
 	}
