--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -19,7 +20,7 @@
 )
 
 const (
-	connsPerClient = 4
+	connsPerClient = 4 // at most
 	// giveUpAfter is how long after its time a request is still waited for.
 	giveUpAfter = time.Second
 	dialTimeout = time.Second
@@ -27,6 +28,7 @@
 
 // Load says what clients send to one dispatcher.
 type Load struct {
+	Conns         int     // connections that are used; 0: connsPerClient
 	Rate          float64 // requests a second
 	Functions     int     // that are called, by a Zipf distribution
 	FirstFunction int
@@ -79,15 +81,13 @@
 		if waitOr(stop, pause) {
 			return
 		}
-		if c.fleet.accepting(c.dispatcher) {
-			c.sendOne(load)
-		}
+		c.sendOne(load)
 	}
 }
 
 // sendOne sends one request on one of the connections.
 func (c *client) sendOne(load Load) {
-	conn := c.conn(c.random.IntN(connsPerClient))
+	conn := c.conn(c.random.IntN(cmp.Or(load.Conns, connsPerClient)))
 	if conn == nil {
 		return
 	}
@@ -131,7 +131,8 @@
 // functionName returns the name of a function by its number.
 func functionName(number int) string { return fmt.Sprintf("%016x", 0x7f3a000000000001+uint64(number)) }
 
-// conn returns an open connection, a new one where the last has ended; nil if there is none.
+// conn returns an open connection, a new one where the last has ended; nil if there is none. One that is open is used for
+// as long as it is, also while its dispatcher sends its clients away.
 func (c *client) conn(index int) *clientConn {
 	c.mu.Lock()
 	existing := c.conns[index]
@@ -139,6 +140,9 @@
 	if existing != nil && existing.isOpen() {
 		return existing
 	}
+	if !c.fleet.accepting(c.dispatcher) {
+		return nil
+	}
 	run := c.fleet.currentRun(c.dispatcher)
 	netConn, err := net.DialTimeout("tcp", c.fleet.dispatcherAddr(c.dispatcher), dialTimeout)
 	if err != nil {
@@ -167,6 +171,8 @@
 	open    map[int]*Request // requests that an answer is waited for, by tag
 	all     map[int]*Request
 	closed  bool
+
+	lastSent time.Duration // when the last request was sent
 }
 
 func (c *clientConn) isOpen() bool {
@@ -193,6 +199,7 @@
 		return 0
 	}
 	r.Sent = Now()
+	c.lastSent = r.Sent
 	return c.tag
 }
 
--- a/internal/soak/dispatcherhandle.go
+++ b/internal/soak/dispatcherhandle.go
@@ -11,6 +11,7 @@
 	"kitefall/internal/wallstep"
 )
 
+// dispatcherHandle is a dispatcher and its present process.
 type dispatcherHandle struct {
 	number    int
 	run       atomic.Int64    // number of the present process
@@ -23,6 +24,7 @@
 	ready       bool
 }
 
+// startDispatcher starts a process of a dispatcher, whose wall clock takes the steps.
 func (f *Fleet) startDispatcher(number int, steps []wallstep.Step) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -33,13 +35,12 @@
 	if err := f.writeConfig(number, known); err != nil {
 		return err
 	}
-	logPath := filepath.Join(f.config.Folder, fmt.Sprintf("dispatcher-%d-%d.log", number, run))
-	logFile, err := os.Create(logPath)
+	logFile, err := os.Create(f.logPath(number, run))
 	if err != nil {
 		return err
 	}
 	defer logFile.Close()
-	d.cmd = exec.Command(f.config.Program)
+	d.cmd = f.limitedCommand()
 	d.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+configPath, wallstep.Environment(steps))
 	d.cmd.Stdout = logFile
 	d.cmd.Stderr = logFile
@@ -53,21 +54,35 @@
 		return err
 	}
 	go f.reap(d, d.cmd, run, d.exited)
+	go f.measure(d, d.cmd.Process.Pid, run, d.exited)
 	return nil
 }
 
+// limitedCommand returns the command that runs a dispatcher with the limit of descriptors set, as the platform does.
+func (f *Fleet) limitedCommand() *exec.Cmd {
+	script := fmt.Sprintf("ulimit -n %d; exec %q", f.config.Limits.Sockets, f.config.Program)
+	return exec.Command("/bin/sh", "-c", script)
+}
+
+func (f *Fleet) logPath(number, run int) string {
+	return filepath.Join(f.config.Folder, fmt.Sprintf("dispatcher-%d-%d.log", number, run))
+}
+
+// reap notes the end of a process of a dispatcher.
 func (f *Fleet) reap(d *dispatcherHandle, cmd *exec.Cmd, run int, exited chan struct{}) {
 	err := cmd.Wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := &d.runs[run]
 	r.Ended = Now()
+	r.Shortages = shortagesIn(f.logPath(d.number, run))
 	if r.Killed == 0 && (r.Terminated == 0 || err != nil) {
 		r.Crash = fmt.Sprint("ended: ", err)
 	}
 	close(exited)
 }
 
+// awaitDispatcher waits until the dispatcher says that it is ready.
 func (f *Fleet) awaitDispatcher(number int) error {
 	addr := f.dispatcherAddr(number)
 	for begin := Now(); Now()-begin < readyTimeout; time.Sleep(10 * time.Millisecond) {
@@ -81,8 +96,10 @@
 	return fmt.Errorf("soak: dispatcher %d is not ready", number)
 }
 
+// currentRun returns the number of the dispatcher's present process.
 func (f *Fleet) currentRun(number int) int { return int(f.dispatchers[number].run.Load()) }
 
+// accepting reports whether clients make new connections to the dispatcher.
 func (f *Fleet) accepting(number int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/soak/endpointlist.go
+++ b/internal/soak/endpointlist.go
@@ -49,7 +49,7 @@
 // change is a change of the endpoint list, as the endpoint list keeps it.
 type change struct {
 	at     time.Duration
-	worker *workerHandle
+	worker *member
 	state  string
 	bootMS int64
 }
@@ -70,11 +70,13 @@
 	return &endpointList{fleet: f, changed: make(chan struct{})}
 }
 
-// add adds a change.
-func (b *endpointList) add(worker *workerHandle, state string, bootMS int64) {
+// add adds a change for each worker of a process.
+func (b *endpointList) add(process *workerHandle, state string, bootMS int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.changes = append(b.changes, change{at: Now(), worker: worker, state: state, bootMS: bootMS})
+	for _, worker := range process.members {
+		b.changes = append(b.changes, change{at: Now(), worker: worker, state: state, bootMS: bootMS})
+	}
 	close(b.changed)
 	b.changed = make(chan struct{})
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -26,7 +26,7 @@
 	return d.cmd.Process.Signal(syscall.SIGHUP)
 }
 
-// terminateDispatcher sends SIGTERM. Clients go on sending for a moment.
+// terminateDispatcher sends SIGTERM. Clients make new connections for a moment, and use open ones until the end.
 func (f *Fleet) terminateDispatcher(number int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -34,8 +34,10 @@
 	if isClosed(d.exited) {
 		return
 	}
-	d.runs[len(d.runs)-1].Terminated = Now()
-	d.acceptUntil = Now() + acceptAfterTerm
+	if run := &d.runs[len(d.runs)-1]; run.Terminated == 0 { // a second SIGTERM changes nothing
+		run.Terminated = Now()
+		d.acceptUntil = Now() + acceptAfterTerm
+	}
 	d.cmd.Process.Signal(syscall.SIGTERM)
 }
 
@@ -43,11 +45,11 @@
 func (f *Fleet) awaitExit(number int) {
 	f.mu.Lock()
 	d := f.dispatchers[number]
-	exited := d.exited
+	exited, terminated := d.exited, d.runs[len(d.runs)-1].Terminated
 	f.mu.Unlock()
 	select {
 	case <-exited:
-	case <-time.After(stopTimeout):
+	case <-time.After(terminated + f.config.killDelay() - Now()):
 		f.killDispatcher(number)
 	}
 }
@@ -123,7 +125,9 @@
 	w.signal(syscall.SIGCONT)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.freezes = append(f.freezes, Freeze{Worker: w.uid, Begin: begin, End: Now()})
+	for _, worker := range w.members {
+		f.freezes = append(f.freezes, Freeze{Worker: worker.uid, Begin: begin, End: Now()})
+	}
 }
 
 // FlushWorkers unloads all functions of all workers, as when all are released anew.
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -17,26 +17,11 @@
 	discoveryPort      = 2379
 	discoveryAddresses = 8 // a reload moves a dispatcher to the next one
 	readyTimeout       = 15 * time.Second
-	// stopTimeout is the time from SIGTERM to SIGKILL (source: client protocol): longest deadline, 3 s at least, plus 0.7 s.
-	stopTimeout = 3700 * time.Millisecond
-	// acceptAfterTerm is how long clients go on sending after SIGTERM.
+	// acceptAfterTerm is how long clients make new connections after SIGTERM. They use those that are open until the end.
 	acceptAfterTerm = 400 * time.Millisecond
 )
 
-// Rules are the figures of the rules that dispatchers are told.
-
-// Config configures a fleet.
-
-// DefaultRules are rules with short windows, so that a run of a few seconds sees them bind.
-
-// DefaultWorker is a worker that can do what DefaultRules say.
-
-// dispatcherHandle is a dispatcher and its present process.
-
-// workerHandle is a worker and its present process.
-
 // Fleet is the processes of a run.
-
 type Fleet struct {
 	config    Config
 	net       int // the second number of all addresses
@@ -48,6 +33,7 @@
 	clients     []*client
 	faults      map[string]int
 	freezes     []Freeze
+	evacuations []Evacuation
 
 	stopClients chan struct{}
 	closers     []func()
@@ -55,7 +41,6 @@
 }
 
 // fleetCount numbers the fleets of this process: each has addresses of its own.
-
 var fleetCount atomic.Int64
 
 const (
@@ -64,10 +49,9 @@
 )
 
 // Start starts the processes of a fleet and waits until the dispatchers are ready. The caller must call Close, unless Start
-
 // fails.
-
 func Start(config Config) (*Fleet, error) {
+	config.applyDefaults()
 	f := &Fleet{
 		config:      config,
 		net:         firstNet + (os.Getpid()+int(fleetCount.Add(1))*37)%netCount,
@@ -76,8 +60,7 @@
 	}
 	f.endpoints = newEndpointList(f)
 	for i := range config.Workers + config.Spares {
-		f.workers = append(f.workers, &workerHandle{uid: fmt.Sprintf("s-%02d", i), zone: fmt.Sprintf("z%d", i%2), number: i,
-			fleet: f})
+		f.workers = append(f.workers, newWorkerHandle(f, i))
 	}
 	for i := range config.Dispatchers {
 		f.dispatchers = append(f.dispatchers, &dispatcherHandle{number: i})
@@ -90,19 +73,19 @@
 }
 
 // startWorkers starts the workers of the first list.
-
 func (f *Fleet) startWorkers() error {
 	for i := range f.config.Workers {
 		if err := f.workers[i].start(); err != nil {
 			return err
 		}
-		f.endpoints.first = append(f.endpoints.first, change{worker: f.workers[i], state: stateActive})
+		for _, worker := range f.workers[i].members {
+			f.endpoints.first = append(f.endpoints.first, change{worker: worker, state: stateActive})
+		}
 	}
 	return nil
 }
 
 // serveDiscovery has the endpoint list answer at all addresses.
-
 func (f *Fleet) serveDiscovery() error {
 	for dispatcher := range f.dispatchers {
 		for address := range discoveryAddresses {
@@ -117,7 +100,6 @@
 }
 
 // startDispatchers starts the dispatchers and waits until all are ready.
-
 func (f *Fleet) startDispatchers() error {
 	for i := range f.dispatchers {
 		var steps []wallstep.Step
@@ -140,42 +122,27 @@
 	return fmt.Sprintf("127.%d.0.%d:%d", f.net, dispatcher+1, dispatcherPort)
 }
 
+// adminAddr returns the address for the operators of a dispatcher.
+func (f *Fleet) adminAddr(dispatcher int) string {
+	return fmt.Sprintf("127.%d.2.%d:%d", f.net, dispatcher+1, dispatcherPort)
+}
+
 func (f *Fleet) discoveryAddr(dispatcher, address int) string {
 	return fmt.Sprintf("127.%d.1.%d:%d", f.net, dispatcher+1, discoveryPort+address)
 }
 
-// start starts the worker's process.
-
-// kill ends the worker's process at once.
-
-// signal sends a signal to the worker's process.
-
-// startDispatcher starts a process of a dispatcher, whose wall clock takes the steps.
-
-// reap notes the end of a process of a dispatcher.
-
-// awaitDispatcher waits until the dispatcher says that it is ready.
-
-// writeConfig writes the configuration of a dispatcher.
-
-// settings returns the settings object of a dispatcher (source: the platform's wire page).
-
-// currentRun returns the number of the dispatcher's present process.
-
-// accepting reports whether clients send to the dispatcher.
-
 // StartClients starts a client of each dispatcher.
-
 func (f *Fleet) StartClients(load Load) {
 	for i := range f.dispatchers {
 		c := &client{fleet: f, dispatcher: i, load: load, random: rand.New(rand.NewPCG(f.config.Seed, uint64(i+1)))}
+		f.mu.Lock()
 		f.clients = append(f.clients, c)
+		f.mu.Unlock()
 		f.background.Go(func() { c.run(f.stopClients) })
 	}
 }
 
 // SetLoad changes what clients send from now on.
-
 func (f *Fleet) SetLoad(load Load) {
 	for _, c := range f.clients {
 		c.setLoad(load)
@@ -183,13 +150,11 @@
 }
 
 // Finish stops the clients, waits until what they have sent can be answered, ends all processes and returns what was
-
 // recorded.
-
 func (f *Fleet) Finish() (*History, error) {
 	close(f.stopClients)
 	f.background.Wait()
-	time.Sleep(3 * time.Second) // the longest wait of a client, and the time until a request counts as lost
+	time.Sleep(f.config.Deadline + answerSlack) // the longest wait of a client, and the time until a request counts as lost
 	for i := range f.dispatchers {
 		f.terminateDispatcher(i)
 	}
@@ -201,7 +166,6 @@
 }
 
 // Close ends all processes. It may be called more than once.
-
 func (f *Fleet) Close() {
 	for _, d := range f.dispatchers {
 		f.mu.Lock()
@@ -234,9 +198,9 @@
 }
 
 // history gathers what was recorded.
-
 func (f *Fleet) history() (*History, error) {
-	h := &History{Rules: f.config.Rules, Faults: f.faults, Freezes: f.freezes}
+	h := &History{Rules: f.config.Rules, KillDelay: f.config.killDelay(), Limits: f.config.Limits, Faults: f.faults,
+		Freezes: f.freezes, Evacuations: f.evacuations}
 	for _, w := range f.workers {
 		events, err := readWorkerEvents(w.recordPath())
 		if err != nil && !os.IsNotExist(err) {
--- /dev/null
+++ b/internal/soak/incident2_test.go
@@ -0,0 +1,77 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// busyLoad keeps the connection of a client in use: some twelve requests are open on it at a time.
+func busyLoad(deadline time.Duration) Load {
+	return Load{Conns: 1, Rate: 120, Functions: 8, MinWait: deadline / 2, MaxWait: deadline}
+}
+
+// startSmallFleet starts a fleet with one dispatcher and a few workers.
+func startSmallFleet(t *testing.T, deadline time.Duration) *Fleet {
+	t.Helper()
+	worker := DefaultWorker()
+	worker.Work = 100 * time.Millisecond
+	worker.Cores = 8
+	f, err := Start(Config{Program: dispatcherProgram(t), Folder: t.TempDir(), Dispatchers: 1, Workers: 4, Seed: 1,
+		Rules: DefaultRules(), Worker: worker, Deadline: deadline})
+	require.NoError(t, err)
+	t.Cleanup(f.Close)
+	return f
+}
+
+// A process that operators tell to send its clients away says no at once and holds no client after 4 s, though they go on
+// using their open connections; told to, it takes clients again (incident 2, hypothesis A1).
+func TestEvacuatedProcessSendsItsClientsAway(t *testing.T) {
+	f := startSmallFleet(t, time.Second)
+	f.StartClients(busyLoad(time.Second))
+	time.Sleep(time.Second)
+	f.EvacuateDispatcher(0, 0)
+	time.Sleep(time.Second)
+	history, err := f.Finish()
+	require.NoError(t, err)
+	t.Log(Counts(history))
+	assert.Empty(t, Check(history))
+}
+
+// A process that is told to end answers all that it takes before the earliest SIGKILL, though its clients go on using their
+// open connections until then and a worker hangs through the whole of it (incident 2, hypothesis A3).
+func TestTerminatedProcessAnswersAllBeforeTheKill(t *testing.T) {
+	for _, deadline := range []time.Duration{600 * time.Millisecond, 5 * time.Second} {
+		t.Run(deadline.String(), func(t *testing.T) {
+			t.Parallel()
+			f := startSmallFleet(t, deadline)
+			f.StartClients(busyLoad(deadline))
+			time.Sleep(time.Second)
+			go f.HangWorker(0, maxKillDelay+killMargin)
+			require.NoError(t, f.RestartDispatcher(0, true, nil))
+			history, err := f.Finish()
+			require.NoError(t, err)
+			t.Log(Counts(history))
+			assert.Empty(t, Check(history))
+		})
+	}
+}
+
+// With a thousand workers and more a process keeps to its descriptors, and still serves (incident 2, hypothesis B1).
+func TestDescriptorsHoldWithManyWorkers(t *testing.T) {
+	worker := DefaultWorker()
+	worker.Work = 20 * time.Millisecond
+	f, err := Start(Config{Program: dispatcherProgram(t), Folder: t.TempDir(), Dispatchers: 2, Workers: 4, Members: 300,
+		Seed: 1, Rules: DefaultRules(), Worker: worker, Limits: Limits{Cores: 0.4, MemoryMB: 64, Sockets: 192}})
+	require.NoError(t, err)
+	t.Cleanup(f.Close)
+	f.StartClients(Load{Rate: 60, Functions: 2000, MinWait: time.Second, MaxWait: 2 * time.Second, CancelShare: 0.1})
+	time.Sleep(8 * time.Second)
+	history, err := f.Finish()
+	require.NoError(t, err)
+	t.Log(Counts(history), history.Dispatchers)
+	assert.Empty(t, Check(history))
+	assert.Positive(t, Counts(history)["answer:ok"])
+}
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -10,11 +10,9 @@
 )
 
 // Rule names a rule that dispatchers keep.
-
 type Rule string
 
 // The rules (source: client protocol and standing test).
-
 const (
 	RuleLoads     Rule = "loads"     // load orders within the budget
 	RuleDuplicate Rule = "duplicate" // what must not run twice does not
@@ -25,10 +23,11 @@
 	RuleSlowStart Rule = "slowstart" // a cold worker is not sent more than it can do
 	RuleCrash     Rule = "crash"     // dispatchers do not end by themselves
 	RuleFrame     Rule = "frame"     // workers can read what they are sent
+	RuleEvacuate  Rule = "evacuate"  // clients are sent away in time, and taken again
+	RuleLimits    Rule = "limits"    // no more descriptors and memory than allowed
 )
 
 // Slack of the rules.
-
 const (
 	timeSlack     = 50 * time.Millisecond  // of every time limit
 	budgetSlack   = 0.15                   // the load budget is widened by this part ...
@@ -36,8 +35,7 @@
 	answerSlack   = 500 * time.Millisecond // a later answer counts as lost
 	goneSlack     = 100 * time.Millisecond // an attempt may begin so long after its client has left
 	deadlineSlack = 150 * time.Millisecond
-	crossingTime  = 50 * time.Millisecond  // a request may cross the close of an idle connection
-	termGrace     = 700 * time.Millisecond // requests that arrive later after SIGTERM are not owed an answer
+	crossingTime  = 50 * time.Millisecond // a request may cross the close of an idle connection
 	// schedulingSlack is allowed on top where the recorder and the recorded compete for the machine's processors.
 	schedulingSlack = 100 * time.Millisecond
 	// thawTime is how long a worker takes to read what has arrived while it was frozen.
@@ -46,7 +44,6 @@
 )
 
 // Violation is a broken rule.
-
 type Violation struct {
 	Rule Rule
 	At   time.Duration
@@ -58,12 +55,11 @@
 }
 
 // Check returns the rules that were broken, by time.
-
 func Check(h *History) []Violation {
 	var violations []Violation
 	for _, check := range []func(*History) []Violation{
 		checkLoads, checkDuplicates, checkDrains, checkLost, checkGone, checkDeadlines, checkSlowStart, checkCrashes,
-		checkFrames,
+		checkFrames, checkEvacuations, checkLimits,
 	} {
 		violations = append(violations, check(h)...)
 	}
@@ -71,12 +67,7 @@
 	return violations
 }
 
-// arrivalKnown reports whether the time of an arrival is that of its record. What a worker reads right after it was frozen
-
-// may have arrived at any time before.
-
 // runAt returns the process of the dispatcher that was there at a time.
-
 func (h *History) runAt(dispatcher int, at time.Duration) int {
 	last := 0
 	for _, run := range h.Dispatchers {
@@ -88,7 +79,6 @@
 }
 
 // begin is when the first dispatcher was started.
-
 func (h *History) begin() time.Duration {
 	begin := time.Duration(math.MaxInt64)
 	for _, run := range h.Dispatchers {
@@ -98,7 +88,6 @@
 }
 
 // run returns the record of a dispatcher's process.
-
 func (h *History) run(dispatcher, number int) DispatcherRun {
 	for _, run := range h.Dispatchers {
 		if run.Dispatcher == dispatcher && run.Run == number {
@@ -109,11 +98,9 @@
 }
 
 // process identifies a process of a dispatcher.
-
 type process struct{ dispatcher, run int }
 
 // checkLoads counts the orders in the window before each order, as they arrived.
-
 func checkLoads(h *History) []Violation {
 	orders := map[process][]time.Duration{}
 	for _, e := range h.Workers {
@@ -149,29 +136,12 @@
 }
 
 // countBetween counts sorted times from one to another, both included.
-
 func countBetween(sorted []time.Duration, from, to time.Duration) int {
 	first, _ := slices.BinarySearch(sorted, from)
 	last, _ := slices.BinarySearch(sorted, to+1)
 	return last - first
 }
 
-// checkDrains looks at what arrives at workers that drain or are gone, by what its dispatcher was told.
-
-// unavailableSince returns since when a dispatcher knew at a time that a worker drains or is gone.
-
-// exemption says why the dispatcher owes no answer to a request that has none; empty: it owes one.
-
-// hadTimeToAnswer reports whether a process that was killed was told to end long enough before to answer a request.
-
-// checkGone looks for attempts that arrive after their client has cancelled or closed.
-
-// checkSlowStart counts what arrives at a worker after its start.
-
-// overloaded returns the first overload of a worker after a start.
-
-// notifiedPart returns the part of the calls that came from dispatchers which had been told of the worker's start.
-
 func checkCrashes(h *History) []Violation {
 	var violations []Violation
 	for _, run := range h.Dispatchers {
@@ -183,8 +153,30 @@
 	return violations
 }
 
-// Counts summarises a history: requests by how they ended, and faults by kind.
+func checkEvacuations(h *History) []Violation {
+	var violations []Violation
+	for _, e := range h.Evacuations {
+		for _, problem := range e.Problems {
+			violations = append(violations, Violation{RuleEvacuate, e.Called,
+				fmt.Sprintf("dispatcher %d run %d: %s", e.Dispatcher, e.Run, problem)})
+		}
+	}
+	return violations
+}
 
+func checkLimits(h *History) []Violation {
+	var violations []Violation
+	for _, run := range h.Dispatchers {
+		if run.Descriptors > h.Limits.Sockets || run.MemoryMB > h.Limits.MemoryMB || run.Shortages > 0 {
+			violations = append(violations, Violation{RuleLimits, run.Started, fmt.Sprintf(
+				"dispatcher %d run %d used %d descriptors and %d MB, and was short of descriptors %d times", run.Dispatcher,
+				run.Run, run.Descriptors, run.MemoryMB, run.Shortages)})
+		}
+	}
+	return violations
+}
+
+// Counts summarises a history: requests by how they ended, and faults by kind.
 func Counts(h *History) map[string]int {
 	counts := maps.Clone(h.Faults)
 	for _, r := range h.Requests {
--- a/internal/soak/oracle_requests.go
+++ b/internal/soak/oracle_requests.go
@@ -48,26 +48,29 @@
 	return (at - begin).Seconds()
 }
 
+// exemption says why the dispatcher owes no answer to a request that has none; empty: it owes one.
 func (h *History) exemption(r *Request) string {
 	run := h.run(r.Dispatcher, r.Run)
 	answerBy := r.Sent + r.Wait + answerSlack
 	switch {
-	case run.Killed > 0 && run.Killed < answerBy && !run.hadTimeToAnswer(r):
+	case run.Killed > 0 && run.Killed < answerBy && !h.stoppedInTime(run):
 		return "dispatcher killed"
 	case r.Left > 0 && r.Left < answerBy:
 		return "client left"
-	case run.Terminated > 0 && r.Sent > run.Terminated+termGrace:
-		return "sent long after SIGTERM"
 	case r.ConnEnded > 0 && r.Alone && r.ConnEnded-r.Sent <= crossingTime:
 		return "crossed the close of an idle connection"
 	}
 	return ""
 }
 
-func (run DispatcherRun) hadTimeToAnswer(r *Request) bool {
-	return run.Terminated > 0 && r.Sent < run.Terminated+termGrace && run.Killed-run.Terminated >= stopTimeout
+// hadTimeToAnswer reports whether a process that was killed was told to end long enough before to answer a request.
+// stoppedInTime reports whether a process that was killed had been told to end long enough before to answer all that it
+// takes, and to take nothing more (source: client protocol, figures).
+func (h *History) stoppedInTime(run DispatcherRun) bool {
+	return run.Terminated > 0 && run.Killed-run.Terminated >= h.KillDelay
 }
 
+// checkGone looks for attempts that arrive after their client has cancelled or closed.
 func checkGone(h *History) []Violation {
 	left := map[uint64]time.Duration{}
 	for _, r := range h.Requests {
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -13,7 +13,7 @@
 func newHistory() *History {
 	rules := Rules{LoadBurst: 1, LoadRatio: 0.5, LoadWindow: 2 * second, DrainGrace: second, OverloadTimes: 1,
 		OverloadSpan: second, ColdFrom: 1, WarmAfter: 4 * second, WorkerRate: 1}
-	return &History{Rules: rules, Dispatchers: []DispatcherRun{{Started: second}}}
+	return &History{Rules: rules, KillDelay: 2 * second, Limits: DefaultLimits(), Dispatchers: []DispatcherRun{{Started: second}}}
 }
 
 func newRequest(sent time.Duration) *Request {
@@ -68,11 +68,21 @@
 		}, nil},
 		"killed long after SIGTERM": {func(h *History) {
 			h.Dispatchers[0].Terminated = 10 * second
-			h.Dispatchers[0].Killed = 10*second + stopTimeout
+			h.Dispatchers[0].Killed = 10*second + h.KillDelay
 			r := newRequest(10 * second)
 			r.Wait = 4 * second
 			h.Requests = []*Request{r}
 		}, []Rule{RuleLost}},
+		"used until the kill": {func(h *History) {
+			h.Dispatchers[0].Terminated = 10 * second
+			h.Dispatchers[0].Killed = 12 * second
+			h.Requests = []*Request{newRequest(11*second + second/2)}
+		}, []Rule{RuleLost}},
+		"clients kept": {func(h *History) {
+			h.Evacuations = []Evacuation{{Called: second, Problems: []string{"a connection is held"}}}
+		}, []Rule{RuleEvacuate}},
+		"too many descriptors": {func(h *History) { h.Dispatchers[0].Descriptors = 1025 }, []Rule{RuleLimits}},
+		"too much memory":      {func(h *History) { h.Dispatchers[0].MemoryMB = 193 }, []Rule{RuleLimits}},
 		"two answers": {func(h *History) {
 			r := *answered
 			r.Answers = []time.Duration{11 * second, 11 * second}
--- a/internal/soak/oracle_workers.go
+++ b/internal/soak/oracle_workers.go
@@ -8,12 +8,15 @@
 	"time"
 )
 
+// arrivalKnown reports whether the time of an arrival is that of its record. What a worker reads right after it was frozen
+// may have arrived at any time before.
 func (h *History) arrivalKnown(e WorkerEvent) bool {
 	return !slices.ContainsFunc(h.Freezes, func(f Freeze) bool {
 		return f.Worker == e.Worker && e.At >= f.Begin && e.At <= f.End+thawTime
 	})
 }
 
+// checkDrains looks at what arrives at workers that drain or are gone, by what its dispatcher was told.
 func checkDrains(h *History) []Violation {
 	type pair struct {
 		process
@@ -44,6 +47,7 @@
 	return violations
 }
 
+// unavailableSince returns since when a dispatcher knew at a time that a worker drains or is gone.
 func unavailableSince(notices []Notification, at time.Duration) (since time.Duration, unavailable bool) {
 	for _, n := range notices {
 		if n.At > at {
@@ -58,6 +62,7 @@
 	return since, unavailable
 }
 
+// checkSlowStart counts what arrives at a worker after its start.
 func checkSlowStart(h *History) []Violation {
 	arrivals := map[string][]WorkerEvent{}
 	starts := map[string][]time.Duration{}
@@ -84,6 +89,7 @@
 	return violations
 }
 
+// overloaded returns the first overload of a worker after a start.
 func (h *History) overloaded(worker string, started time.Duration, calls []WorkerEvent) (Violation, bool) {
 	first := 0
 	for i, call := range calls {
@@ -106,6 +112,7 @@
 	return Violation{}, false
 }
 
+// notifiedPart returns the part of the calls that came from dispatchers which had been told of the worker's start.
 func (h *History) notifiedPart(worker string, started time.Duration, calls []WorkerEvent) float64 {
 	told := map[process]time.Duration{}
 	for _, n := range h.Notifications {
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -82,6 +82,18 @@
 	Killed     time.Duration // SIGKILL was sent; 0: never
 	Ended      time.Duration
 	Crash      string // how it ended by itself; empty: it did not
+	// Descriptors and MemoryMB are the most that the process was seen to use.
+	Descriptors int
+	MemoryMB    int
+	Shortages   int // lines of its log that tell of a want of descriptors
+}
+
+// Evacuation is a call to a dispatcher to send its clients away, and what was seen after it.
+type Evacuation struct {
+	Dispatcher int
+	Run        int
+	Called     time.Duration
+	Problems   []string // what was seen that must not be
 }
 
 // Notification is word to a dispatcher that a worker is in a state.
@@ -109,5 +121,8 @@
 	Dispatchers   []DispatcherRun
 	Notifications []Notification
 	Freezes       []Freeze
+	Evacuations   []Evacuation
+	Limits        Limits
+	KillDelay     time.Duration  // the earliest time from SIGTERM to SIGKILL
 	Faults        map[string]int // faults injected, by kind
 }
--- a/internal/soak/workerhandle.go
+++ b/internal/soak/workerhandle.go
@@ -11,33 +11,73 @@
 	"time"
 )
 
-type workerHandle struct {
+// membersPerNetwork is how many workers have addresses with the same third number.
+const membersPerNetwork = 250
+
+// firstMemberNetwork is the third number of the first worker's address.
+const firstMemberNetwork = 10
+
+// member is a worker as the endpoint list knows it. Several may be served by one process.
+type member struct {
 	uid    string
 	zone   string
 	number int
 	fleet  *Fleet
+}
+
+// addr returns the address at which a dispatcher reaches the worker.
+func (m *member) addr(dispatcher int) string {
+	network, host := firstMemberNetwork+m.number/membersPerNetwork, 1+m.number%membersPerNetwork
+	return fmt.Sprintf("127.%d.%d.%d:%d", m.fleet.net, network, host, dispatcherPort+dispatcher)
+}
+
+// workerHandle is a worker's process, and the workers that it stands for.
+type workerHandle struct {
+	number  int
+	fleet   *Fleet
+	members []*member
 
 	mu  sync.Mutex
 	cmd *exec.Cmd // nil while there is no process
 }
 
-func (w *workerHandle) addr(dispatcher int) string {
-	return fmt.Sprintf("127.%d.%d.%d:%d", w.fleet.net, 10+w.number, dispatcher+1, dispatcherPort)
+// newWorkerHandle returns the handle of a process that does not run yet.
+func newWorkerHandle(f *Fleet, number int) *workerHandle {
+	w := &workerHandle{number: number, fleet: f}
+	for i := range f.config.Members {
+		id := number*f.config.Members + i
+		w.members = append(w.members, &member{uid: fmt.Sprintf("s-%02d", id), zone: fmt.Sprintf("z%d", id%2), number: id,
+			fleet: f})
+	}
+	return w
+}
+
+// memberConfigs returns what the process is told of its workers.
+func (w *workerHandle) memberConfigs() []MemberConfig {
+	var configs []MemberConfig
+	for _, m := range w.members {
+		config := MemberConfig{UID: m.uid}
+		for dispatcher := range w.fleet.config.Dispatchers {
+			config.Addrs = append(config.Addrs, m.addr(dispatcher))
+		}
+		configs = append(configs, config)
+	}
+	return configs
 }
 
+// start starts the process and waits until it listens.
 func (w *workerHandle) start() error {
 	config := w.fleet.config.Worker
-	config.UID = w.uid
+	config.Members = w.memberConfigs()
 	config.Seed = w.fleet.config.Seed*1000 + uint64(w.number)
 	config.Record = w.recordPath()
-	config.Addrs = nil
-	for dispatcher := range w.fleet.config.Dispatchers {
-		config.Addrs = append(config.Addrs, w.addr(dispatcher))
-	}
 	text, err := json.Marshal(config)
 	if err != nil {
 		return err
 	}
+	if err := os.WriteFile(w.configPath(), text, 0o600); err != nil {
+		return err
+	}
 	program, err := os.Executable()
 	if err != nil {
 		return err
@@ -45,19 +85,21 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cmd = exec.Command(program)
-	w.cmd.Env = append(os.Environ(), workerEnv+"="+string(text))
+	w.cmd.Env = append(os.Environ(), workerEnv+"="+w.configPath())
 	w.cmd.Stderr = os.Stderr
 	if err := w.cmd.Start(); err != nil {
 		return err
 	}
+	last := w.members[len(w.members)-1]
 	for begin := Now(); Now()-begin < readyTimeout; time.Sleep(5 * time.Millisecond) {
-		if dialable(config.Addrs[len(config.Addrs)-1]) {
+		if dialable(last.addr(w.fleet.config.Dispatchers - 1)) {
 			return nil
 		}
 	}
-	return fmt.Errorf("soak: worker %s does not listen", w.uid)
+	return fmt.Errorf("soak: worker process %d does not listen", w.number)
 }
 
+// kill ends the process at once.
 func (w *workerHandle) kill() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -68,6 +110,7 @@
 	}
 }
 
+// signal sends a signal to the process.
 func (w *workerHandle) signal(s syscall.Signal) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -77,5 +120,9 @@
 }
 
 func (w *workerHandle) recordPath() string {
-	return filepath.Join(w.fleet.config.Folder, "worker-"+w.uid+".json")
+	return filepath.Join(w.fleet.config.Folder, fmt.Sprintf("worker-%d.record", w.number))
+}
+
+func (w *workerHandle) configPath() string {
+	return filepath.Join(w.fleet.config.Folder, fmt.Sprintf("worker-%d.json", w.number))
 }
--- a/internal/soak/workerproc.go
+++ b/internal/soak/workerproc.go
@@ -20,7 +20,7 @@
 	"kitefall/internal/fakes"
 )
 
-// workerEnv holds the configuration of a worker's process.
+// workerEnv names the file that holds the configuration of a worker's process.
 const workerEnv = "KITEFALL_SOAK_WORKER"
 
 // Frames of the worker protocol (source: worker protocol) beside those of package fakes. They are not taken from package
@@ -44,9 +44,8 @@
 
 // WorkerConfig configures a worker's process.
 type WorkerConfig struct {
-	UID       string
-	Addrs     []string // one for each dispatcher
-	Record    string   // path of its record
+	Members   []MemberConfig // the workers that the process stands for
+	Record    string         // path of its record
 	Seed      uint64
 	Cores     int           // calls that run at a time
 	Queue     int           // calls that wait for a core at most; the others are rejected
@@ -56,20 +55,21 @@
 	ErrorRate float64       // part of the calls that fail
 }
 
-// WorkerMain runs a worker if the process was started as one, and does not return then. Otherwise it does nothing.
+// MemberConfig is a worker and its addresses.
+type MemberConfig struct {
+	UID   string
+	Addrs []string // one for each dispatcher
+}
+
+// WorkerMain runs workers if the process was started as one, and does not return then. Otherwise it does nothing.
 // SIGUSR1 unloads all functions, SIGUSR2 resets all connections, and SIGHUP has it hang until the next SIGHUP: it goes on
 // reading what arrives, but runs and answers nothing.
 func WorkerMain() {
-	text, ok := os.LookupEnv(workerEnv)
+	path, ok := os.LookupEnv(workerEnv)
 	if !ok {
 		return
 	}
-	var config WorkerConfig
-	if err := json.Unmarshal([]byte(text), &config); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(2)
-	}
-	if err := runWorker(config); err != nil {
+	if err := runWorkers(path); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
@@ -82,13 +82,27 @@
 	lastUsed time.Duration
 }
 
-// workerProcess is the state of a worker's process.
+// recorder writes the record of a process.
+type recorder struct {
+	mu      sync.Mutex
+	encoder *json.Encoder // unbuffered: a kill loses nothing
+}
+
+func (r *recorder) write(e WorkerEvent) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e.At = Now()
+	r.encoder.Encode(e)
+}
+
+// workerProcess is the state of one worker.
 type workerProcess struct {
+	uid    string
 	config WorkerConfig
+	record *recorder
 	cores  chan struct{}
 
 	mu        sync.Mutex
-	record    *json.Encoder
 	random    *rand.Rand
 	functions map[string]*loadedFunction
 	conns     map[*net.TCPConn]bool
@@ -96,30 +110,58 @@
 	resumed   chan struct{} // closed unless it hangs
 }
 
-func runWorker(config WorkerConfig) error {
+// runWorkers runs the workers of a configuration file until SIGTERM.
+func runWorkers(path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	var config WorkerConfig
+	if err := json.Unmarshal(text, &config); err != nil {
+		return err
+	}
 	file, err := os.OpenFile(config.Record, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
+	record := &recorder{encoder: json.NewEncoder(file)}
+	var workers []*workerProcess
+	for i, member := range config.Members {
+		w := newWorkerProcess(config, member.UID, uint64(i), record)
+		if err := w.listen(member.Addrs); err != nil {
+			return err
+		}
+		workers = append(workers, w)
+		w.note(WorkerEvent{Kind: WorkerStarted})
+	}
+	handleSignals(workers)
+	return nil
+}
+
+func newWorkerProcess(config WorkerConfig, uid string, stream uint64, record *recorder) *workerProcess {
 	w := &workerProcess{
+		uid:       uid,
 		config:    config,
+		record:    record,
 		cores:     make(chan struct{}, config.Cores),
-		record:    json.NewEncoder(file), // unbuffered: a kill loses nothing
-		random:    rand.New(rand.NewPCG(config.Seed, 0)),
+		random:    rand.New(rand.NewPCG(config.Seed, stream)),
 		functions: map[string]*loadedFunction{},
 		conns:     map[*net.TCPConn]bool{},
 		resumed:   make(chan struct{}),
 	}
 	close(w.resumed)
-	for dispatcher, addr := range config.Addrs {
+	return w
+}
+
+// listen accepts the connections of each dispatcher at its address.
+func (w *workerProcess) listen(addrs []string) error {
+	for dispatcher, addr := range addrs {
 		listener, err := listenRetrying(addr)
 		if err != nil {
 			return err
 		}
 		go w.accept(listener, dispatcher)
 	}
-	w.note(WorkerEvent{Kind: WorkerStarted})
-	w.handleSignals()
 	return nil
 }
 
@@ -136,30 +178,38 @@
 	return nil, err
 }
 
-// handleSignals unloads or resets on signals and returns on SIGTERM.
-func (w *workerProcess) handleSignals() {
+// handleSignals carries out signals at all workers and returns on SIGTERM.
+func handleSignals(workers []*workerProcess) {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGHUP, syscall.SIGTERM)
 	for received := range signals {
-		w.mu.Lock()
-		switch received {
-		case syscall.SIGUSR1:
-			w.functions = map[string]*loadedFunction{}
-		case syscall.SIGUSR2:
-			for conn := range w.conns {
-				conn.SetLinger(0)
-				conn.Close()
-			}
-		case syscall.SIGHUP:
-			if isClosed(w.resumed) {
-				w.resumed = make(chan struct{})
-			} else {
-				close(w.resumed)
-			}
-		case syscall.SIGTERM:
+		if received == syscall.SIGTERM {
 			return
 		}
-		w.mu.Unlock()
+		for _, w := range workers {
+			w.handleSignal(received)
+		}
+	}
+}
+
+// handleSignal unloads all functions, resets all connections, or begins or ends to hang.
+func (w *workerProcess) handleSignal(received os.Signal) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch received {
+	case syscall.SIGUSR1:
+		w.functions = map[string]*loadedFunction{}
+	case syscall.SIGUSR2:
+		for conn := range w.conns {
+			conn.SetLinger(0)
+			conn.Close()
+		}
+	case syscall.SIGHUP:
+		if isClosed(w.resumed) {
+			w.resumed = make(chan struct{})
+		} else {
+			close(w.resumed)
+		}
 	}
 }
 
@@ -173,11 +223,8 @@
 
 // note writes an event to the record.
 func (w *workerProcess) note(e WorkerEvent) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	e.At = Now()
-	e.Worker = w.config.UID
-	w.record.Encode(e)
+	e.Worker = w.uid
+	w.record.write(e)
 }
 
 func (w *workerProcess) accept(listener net.Listener, dispatcher int) {
