Answer and close all client connections before the earliest SIGKILL, decided in package drain

Package drain decides what is taken and which connection goes, on a schedule that ends before longest deadline (3 s at most) plus 0.7 s: requests whose time would pass the end are refused, what is open by then is answered as failed, and no connection is left. A connection is not idle any more while a request has come in part, was read and not looked at, or lies unread in the socket (package permit). A connection that has requests open when it has to go is a counted violation.

--- a/cmd/dispatcher/drain.go
+++ b/cmd/dispatcher/drain.go
@@ -7,21 +7,16 @@
 	"kitefall/internal/metrics"
 )
 
-const (
-	// drainDelay is how long new calls are still taken after the signal to terminate: clients notice late that the
-	// dispatcher is no longer ready.
-	drainDelay = 700 * time.Millisecond
-	// drainPollInterval is the time between two checks whether everything in flight is answered.
-	drainPollInterval = 5 * time.Millisecond
-)
+// drainPollInterval is the time between two checks whether everything in flight is answered.
+const drainPollInterval = 5 * time.Millisecond
 
-// drain ends the program's service. New calls are taken for drainDelay; then the frontends close, and drain returns once
-// all calls in flight are answered and no client connection is active.
+// drain ends the program's service. Everything is taken for a while, as package drain says; then the listeners close and the
+// clients are sent away, and drain returns once all calls in flight are answered and no client connection is active.
 func (s *server) drain() error {
 	s.phases.Enter(lifecycle.Draining)
-	time.Sleep(drainDelay)
+	s.drainState.Terminate(time.Now())
+	time.Sleep(s.drainState.Linger())
 	s.listener.Close()
-	s.frontend.Drain()
 	if s.invoke != nil {
 		s.invoke.drain()
 	}
--- a/cmd/dispatcher/server.go
+++ b/cmd/dispatcher/server.go
@@ -12,9 +12,11 @@
 	"syscall"
 	"time"
 
+	"kitefall/internal/balancer"
 	"kitefall/internal/config"
 	"kitefall/internal/discovery"
 	"kitefall/internal/dispatch"
+	"kitefall/internal/drain"
 	"kitefall/internal/frontend/resp"
 	"kitefall/internal/lifecycle"
 	"kitefall/internal/metrics"
@@ -30,6 +32,7 @@
 	configPath string
 	config     *config.Config // as read at the start; a reload changes nothing in it
 	phases     *lifecycle.Lifecycle
+	drainState *drain.State // whether clients are sent away
 	core       *dispatch.Core
 	watcher    *discovery.Watcher
 	frontend   *resp.Server
@@ -76,6 +79,7 @@
 	}
 	conf.WarnUnknown(os.Environ())
 	s := &server{configPath: configPath, config: conf, phases: lifecycle.New(), failed: make(chan error, 2)}
+	s.drainState = drain.New(drain.Evacuation(), drain.Termination(longestDeadline(conf.Settings)))
 	applyLimits(conf)
 	if s.core, err = dispatch.New(coreConfig(conf)); err != nil {
 		return nil, err
@@ -133,7 +137,8 @@
 	if s.listener, err = listen(open, time.Now().Add(listenTimeout), terminate); err != nil {
 		return err
 	}
-	s.frontend = &resp.Server{Core: s.core, Ready: s.ready, Settings: s.config.Settings, Timeouts: resp.DefaultTimeouts}
+	s.frontend = &resp.Server{Core: s.core, Ready: s.ready, Settings: s.config.Settings, Timeouts: resp.DefaultTimeouts,
+		DrainState: s.drainState}
 	go func() { s.failed <- s.frontend.Serve(s.listener, s.config.MaxClientConns()) }()
 	slog.Info("listening", "name", s.config.Name, "addr", s.config.Listen)
 	return nil
@@ -145,7 +150,16 @@
 	if s.core.EndpointsKnown() {
 		s.phases.Enter(lifecycle.Serving)
 	}
-	return s.phases.Phase().Ready()
+	return s.phases.Phase().Ready() && s.drainState.Phase() == drain.Serving
+}
+
+// longestDeadline returns the longest deadline of all classes; 0: no class has one.
+func longestDeadline(settings balancer.Settings) time.Duration {
+	longest := time.Duration(0)
+	for _, class := range settings.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	return longest
 }
 
 // signals delivers the signals that the program reacts to.
--- a/internal/frontend/resp/client_test.go
+++ b/internal/frontend/resp/client_test.go
@@ -8,10 +8,12 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"kitefall/internal/balancer"
+	"kitefall/internal/drain"
 	"kitefall/internal/fakes"
 	"kitefall/internal/frontend/resp"
 )
@@ -32,7 +34,8 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { ln.Close() })
-	server := &resp.Server{Core: core, Ready: core.EndpointsKnown, Settings: fakes.Settings(), Timeouts: timeouts}
+	server := &resp.Server{Core: core, Ready: core.EndpointsKnown, Settings: fakes.Settings(), Timeouts: timeouts,
+		DrainState: drain.New(drain.Evacuation(), drain.Schedule{AnswerBy: time.Hour, CloseBy: time.Hour})}
 	server.Settings.Tenants = []balancer.Tenant{{Name: "acme"}}
 	go server.Serve(ln, maxConns)
 	connect := func() *client {
--- a/internal/frontend/resp/closereason.go
+++ b/internal/frontend/resp/closereason.go
@@ -14,9 +14,14 @@
 	closedTimedOut     closeReason = "timed_out"         // the client has exceeded one of the Timeouts
 	closedForRoom      closeReason = "room"              // another client needs the place
 	closedForShortage  closeReason = "shortage"          // accepting failed, most likely for want of descriptors
-	closedWhenDraining closeReason = "draining"          // the process sends its clients away
+	closedWhenDraining closeReason = "draining"          // the process sends its clients away, and nothing was in use
+	closedOverdue      closeReason = "overdue"           // the same, with something in use when the time was over
 	closedRejected     closeReason = "rejected"          // all places were taken by connections with requests in flight
 )
 
+// sparesIncomplete reports whether a connection is kept for the reason where the client has sent a request in part. Where
+// others need the place, or the client takes too long, it is not.
+func (r closeReason) sparesIncomplete() bool { return r == closedWhenDraining }
+
 // count counts a connection that has ended for the reason.
 func (r closeReason) count() { metrics.ClientConnsClosed.Add(string(r)) }
--- a/internal/frontend/resp/conn.go
+++ b/internal/frontend/resp/conn.go
@@ -35,6 +35,7 @@
 	unwritten    int                         // answers queued and not written yet
 	closed       bool
 	lastActivity time.Time // when the client last sent or was sent something
+	lastRequest  time.Time // when its last call came
 }
 
 func newClientConn(server *Server, netConn *trackedConn, detached redcon.DetachedConn) *clientConn {
@@ -51,12 +52,12 @@
 
 // readRequests handles the first request and all that follow, and closes the connection after the last.
 func (c *clientConn) readRequests(first redcon.Command) {
-	err := c.handleRequest(first.Args)
+	err := c.takeRequest(first.Args)
 	for err == nil {
 		var command redcon.Command
 		command, err = c.respConn.ReadCommand()
 		if err == nil {
-			err = c.handleRequest(command.Args)
+			err = c.takeRequest(command.Args)
 		}
 	}
 	if errors.Is(err, errMalformedRequest) {
@@ -68,6 +69,14 @@
 	c.close(closedByClient)
 }
 
+// takeRequest handles one request that was read. An error ends the connection.
+func (c *clientConn) takeRequest(args [][]byte) error {
+	err := c.handleRequest(args)
+	c.netConn.unhandled.Add(-1)
+	c.closeIfDraining() // a cancel, or a request that is not taken, may leave it idle
+	return err
+}
+
 // handleRequest handles one request. An error ends the connection.
 func (c *clientConn) handleRequest(args [][]byte) error {
 	if len(args) < 2 {
@@ -101,7 +110,6 @@
 	if request != nil && request.handle != nil {
 		request.handle.Cancel()
 	}
-	c.closeIfDraining()
 }
 
 func (c *clientConn) handleCheck(tag uint64) {
@@ -130,7 +138,21 @@
 
 // idleLocked reports whether nothing is in flight or unwritten. The caller holds c.mu.
 func (c *clientConn) idleLocked() bool {
-	use := permit.Connection{Open: len(c.requests), Unwritten: c.unwritten}
+	return c.answersDueLocked().Check() == permit.Allowed
+}
+
+// answersDueLocked returns what is in use of the answers. The caller holds c.mu.
+func (c *clientConn) answersDueLocked() permit.Connection {
+	return permit.Connection{Open: len(c.requests), Unwritten: c.unwritten}
+}
+
+// mayCloseLocked reports whether the connection may be closed for a reason. The caller holds c.mu.
+func (c *clientConn) mayCloseLocked(reason closeReason) bool {
+	use := c.netConn.usage()
+	use.Incomplete = use.Incomplete && reason.sparesIncomplete()
+	answers := c.answersDueLocked()
+	use.Open = answers.Open
+	use.Unwritten = answers.Unwritten
 	return use.Check() == permit.Allowed
 }
 
@@ -150,10 +172,10 @@
 	}
 }
 
-// closeIfIdle closes the connection if nothing is in flight or unwritten on it.
+// closeIfIdle closes the connection if nothing is in use on it. An incomplete request counts only where the reason spares it.
 func (c *clientConn) closeIfIdle(reason closeReason) {
 	c.mu.Lock()
-	if c.closed || !c.idleLocked() {
+	if c.closed || !c.mayCloseLocked(reason) {
 		c.mu.Unlock()
 		return
 	}
@@ -171,10 +193,7 @@
 	close(c.done)
 	var abandoned []*dispatch.Handle
 	for tag, request := range c.requests {
-		if request.handle != nil { // else submit cancels it
-			abandoned = append(abandoned, request.handle)
-		}
-		c.removeRequestLocked(tag)
+		abandoned = append(abandoned, c.abandonLocked(tag, request)...)
 	}
 	return abandoned
 }
--- a/internal/frontend/resp/conncall.go
+++ b/internal/frontend/resp/conncall.go
@@ -8,8 +8,12 @@
 
 	"kitefall/internal/call"
 	"kitefall/internal/dispatch"
+	"kitefall/internal/metrics"
 )
 
+// refusedWhenDraining names requests that are refused since the process sends its clients away, in metrics.
+const refusedWhenDraining = "draining"
+
 // maxRequestsPerConn is how many requests may be in flight on one connection.
 const maxRequestsPerConn = 32
 
@@ -23,6 +27,8 @@
 type inFlightRequest struct {
 	id     uint64
 	handle *dispatch.Handle // nil until the dispatcher has accepted the call
+	// abandoned means that the request was ended while it had no handle: submit cancels it.
+	abandoned bool
 }
 
 // handleCall hands a call to the dispatcher. An error ends the connection; a call that cannot be used is answered.
@@ -30,7 +36,13 @@
 	if err := c.checkTag(tag); err != nil {
 		return err
 	}
-	parsed, err := parseCall(args, &c.server.Settings, time.Now())
+	now := time.Now()
+	parsed, err := parseCall(args, &c.server.Settings, now)
+	if err == nil && !c.server.DrainState.Admits(now, parsed.Deadline) {
+		metrics.Refusals.Add(refusedWhenDraining)
+		c.reply(tag, wordRejected)
+		return nil
+	}
 	var request *inFlightRequest
 	if err == nil {
 		request, err = c.addRequest(tag, parsed.ID)
@@ -47,7 +59,7 @@
 	parsed.Done = func(result call.Answer) {
 		c.complete(tag, request, newCallAnswer(tag, result, parsed.Deadline, c.server.Settings.SendRetryAfter))
 	}
-	c.submit(tag, request, parsed)
+	c.submit(request, parsed)
 	return nil
 }
 
@@ -56,6 +68,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastActivity = time.Now()
+	c.lastRequest = c.lastActivity
 	if c.closed {
 		return errConnClosed
 	}
@@ -84,7 +97,7 @@
 }
 
 // submit hands a registered request to the dispatcher. If that is overloaded, the request is rejected.
-func (c *clientConn) submit(tag uint64, request *inFlightRequest, parsed *call.Call) {
+func (c *clientConn) submit(request *inFlightRequest, parsed *call.Call) {
 	handle, err := c.server.Core.Submit(parsed)
 	if err != nil {
 		parsed.Done(call.Answer{Outcome: call.Rejected})
@@ -92,7 +105,7 @@
 	}
 	c.mu.Lock()
 	request.handle = handle
-	abandoned := c.closed && c.requests[tag] != request // closed meanwhile, when there was no handle to cancel
+	abandoned := request.abandoned
 	c.mu.Unlock()
 	if abandoned {
 		handle.Cancel()
@@ -109,6 +122,32 @@
 	}
 }
 
+// failOpenRequests answers all requests that are open, as failed, since their time here is over, and cancels them.
+func (c *clientConn) failOpenRequests() {
+	now := time.Now()
+	var abandoned []*dispatch.Handle
+	c.mu.Lock()
+	for tag, request := range c.requests {
+		abandoned = append(abandoned, c.abandonLocked(tag, request)...)
+		c.enqueueLocked(newAnswer(tag, wordFailed, now))
+	}
+	c.mu.Unlock()
+	for _, handle := range abandoned {
+		handle.Cancel()
+	}
+}
+
+// abandonLocked ends a request that the dispatcher has not answered, and returns its handle, if it has one yet, for the
+// caller to cancel once c.mu is released. The caller holds c.mu.
+func (c *clientConn) abandonLocked(tag uint64, request *inFlightRequest) []*dispatch.Handle {
+	c.removeRequestLocked(tag)
+	if request.handle == nil {
+		request.abandoned = true
+		return nil
+	}
+	return []*dispatch.Handle{request.handle}
+}
+
 // removeRequestLocked ends a request. The caller holds c.mu.
 func (c *clientConn) removeRequestLocked(tag uint64) {
 	c.server.requestIDs.release(c.requests[tag].id)
--- a/internal/frontend/resp/drain.go
+++ b/internal/frontend/resp/drain.go
@@ -3,42 +3,81 @@
 import (
 	"maps"
 	"slices"
+	"time"
+
+	"kitefall/internal/drain"
+	"kitefall/internal/metrics"
 )
 
-// The drain of a server that is about to stop: Drain marks it as draining and closes the idle connections; each other
-// connection is closed when its last answer is written or its last request cancelled (closeIfDraining); those accepted
-// in the meantime are closed by the sweep (trackedConn.timedOutLocked); and the listener reports its end only after the
-// last of them (waitForLastConn).
+// How the server sends its clients away. Package drain decides; the sweep asks it for each connection, often while clients
+// are being sent away (sweepDraining), and a connection asks for itself whenever it may have become idle (closeIfDraining).
+// Requests that are not taken any more are refused (handleCall). At the end of the process the listener reports its end only
+// after the last connection (waitForLastConn).
 
-// Drain closes each connection once its last answer is written, and idle ones at once. It does not wait: Serve returns
-// after the last connection, provided its listener is closed too.
-func (s *Server) Drain() {
-	s.mu.Lock()
-	s.draining = true
-	conns := slices.Collect(maps.Keys(s.conns))
-	s.mu.Unlock()
-	for _, conn := range conns {
-		conn.closeIfIdle(closedWhenDraining)
+// drainSweepInterval is the time between two sweeps while clients are being sent away.
+const drainSweepInterval = 20 * time.Millisecond
+
+// violationClientHeld names connections that still had requests open when the time for it was over, in metrics.
+const violationClientHeld = "client_held"
+
+// sweepInterval is the time until the next sweep.
+func (s *Server) sweepInterval() time.Duration {
+	if s.DrainState.Phase() != drain.Serving {
+		return drainSweepInterval
 	}
+	return max(s.Timeouts.FirstRequest/sweepsPerTimeout, minSweepInterval)
 }
 
-// sweepReason is why the sweep closes a connection.
-func (s *Server) sweepReason() closeReason {
-	if s.isDraining() {
-		return closedWhenDraining
+// sweepDraining does with each connection what package drain says.
+func (s *Server) sweepDraining(now time.Time) {
+	if s.DrainState.Phase() == drain.Serving {
+		return
+	}
+	for _, conn := range s.openConns() {
+		s.drainConn(conn, now)
 	}
-	return closedTimedOut
 }
 
-func (s *Server) isDraining() bool {
+func (s *Server) openConns() []*trackedConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.draining
+	return slices.Collect(maps.Keys(s.conns))
+}
+
+func (s *Server) drainConn(conn *trackedConn, now time.Time) {
+	client := conn.attached()
+	lastRequest, open := conn.acceptedAt, 0
+	if client != nil {
+		lastRequest, open = client.requestsInUse()
+	}
+	switch s.DrainState.Judge(now, lastRequest) {
+	case drain.Keep:
+	case drain.CloseIfIdle:
+		conn.closeIfIdle(closedWhenDraining)
+	case drain.AnswerAndClose:
+		if client != nil {
+			client.failOpenRequests()
+		}
+		conn.closeIfIdle(closedWhenDraining)
+	case drain.Close:
+		if open > 0 { // they were answered at the verdict before this one
+			metrics.Violations.Add(violationClientHeld)
+		}
+		conn.closeAnyway(closedOverdue)
+	}
+}
+
+// requestsInUse returns when the last request came, and how many are open.
+func (c *clientConn) requestsInUse() (last time.Time, open int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastRequest, len(c.requests)
 }
 
-// closeIfDraining closes the connection if it is idle and the server drains.
+// closeIfDraining closes the connection if it is idle and clients are being sent away.
 func (c *clientConn) closeIfDraining() {
-	if c.server.isDraining() {
+	now := time.Now()
+	if c.server.DrainState.Judge(now, now) != drain.Keep {
 		c.closeIfIdle(closedWhenDraining)
 	}
 }
--- a/internal/frontend/resp/listener_test.go
+++ b/internal/frontend/resp/listener_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"kitefall/internal/drain"
 )
 
 const checkRequest = "*3\r\n$5\r\nCHECK\r\n$1\r\n1\r\n$0\r\n\r\n"
@@ -57,8 +59,9 @@
 // serveOn starts a server without a dispatcher, for tests that send no CALL. Its Serve returns into the channel.
 func serveOn(ln net.Listener) (*Server, <-chan error) {
 	server := &Server{
-		Ready:    func() bool { return true },
-		Timeouts: Timeouts{FirstRequest: time.Hour, Request: time.Hour, Idle: time.Hour},
+		Ready:      func() bool { return true },
+		DrainState: drain.New(drain.Schedule{}, drain.Schedule{AnswerBy: time.Hour, CloseBy: time.Hour}),
+		Timeouts:   Timeouts{FirstRequest: time.Hour, Request: time.Hour, Idle: time.Hour},
 	}
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- server.Serve(ln, 8) }()
@@ -82,7 +85,7 @@
 		n, err := client.Read(answer)
 		require.NoError(t, err)
 		assert.Contains(t, string(answer[:n]), wordReady)
-		server.Drain()
+		server.DrainState.Terminate(time.Now())
 		synctest.Wait()
 		require.Len(t, serveErr, 1, "Serve returns after its last connection")
 		assert.NoError(t, <-serveErr)
@@ -110,7 +113,7 @@
 		assert.LessOrEqual(t, ln.acceptCalls.Load()-acceptCalls, int64(5))
 		assert.GreaterOrEqual(t, time.Since(began), 3*acceptRetryDelay)
 		ln.Close()
-		server.Drain()
+		server.DrainState.Terminate(time.Now())
 		synctest.Wait()
 		assert.NoError(t, <-serveErr)
 	})
--- a/internal/frontend/resp/server.go
+++ b/internal/frontend/resp/server.go
@@ -16,6 +16,7 @@
 
 	"kitefall/internal/balancer"
 	"kitefall/internal/dispatch"
+	"kitefall/internal/drain"
 	"kitefall/internal/logthrottle"
 )
 
@@ -46,6 +47,8 @@
 	Ready    func() bool // the answer to CHECK
 	Settings balancer.Settings
 	Timeouts Timeouts
+	// DrainState says whether clients are sent away.
+	DrainState *drain.State
 
 	logs       logs
 	requestIDs *requestIDs // of the requests in flight on all connections
@@ -53,7 +56,6 @@
 	mu         sync.Mutex
 	conns      map[*trackedConn]bool
 	connClosed *sync.Cond // signals that a connection has left conns
-	draining   bool
 }
 
 // logs holds one throttled log line per fault that clients can cause at will.
@@ -109,26 +111,29 @@
 	go client.readRequests(command)
 }
 
-// sweepUntilLastConn closes connections that have exceeded a timeout, until the listener has ended and no connection
-// is left.
+// sweepUntilLastConn closes connections that have exceeded a timeout, or are to be sent away, until the listener has ended
+// and no connection is left.
 func (s *Server) sweepUntilLastConn(listenerEnded <-chan struct{}) {
-	ticker := time.NewTicker(max(s.Timeouts.FirstRequest/sweepsPerTimeout, minSweepInterval))
-	defer ticker.Stop()
 	accepting := true
 	for accepting || s.ActiveConns() > 0 {
+		next := time.NewTimer(s.sweepInterval())
 		select {
-		case now := <-ticker.C:
-			s.closeTimedOut(now)
+		case <-next.C:
+		case <-s.DrainState.Changed():
 		case <-listenerEnded:
 			accepting = false
 			listenerEnded = nil // a nil channel is never ready
 		}
+		next.Stop()
+		now := time.Now()
+		s.closeTimedOut(now)
+		s.sweepDraining(now)
 	}
 }
 
 func (s *Server) closeTimedOut(now time.Time) {
 	for _, conn := range s.timedOut(now) {
-		conn.closeIfIdle(conn.server.sweepReason())
+		conn.closeIfIdle(closedTimedOut)
 	}
 }
 
--- a/internal/frontend/resp/server_test.go
+++ b/internal/frontend/resp/server_test.go
@@ -22,7 +22,7 @@
 	c := connect()
 	c.sendCall(1, "reserva", "book")
 	w.Next()
-	server.Drain()
+	server.DrainState.Terminate(time.Now())
 	c.sendCommand("CANCEL", "1")
 	_, err := c.reader.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
--- a/internal/frontend/resp/trackedconn.go
+++ b/internal/frontend/resp/trackedconn.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync/atomic"
 	"time"
+
+	"kitefall/internal/permit"
 )
 
 // trackedConn is an accepted network connection. It validates what the client sends before redcon reads it, and is one
@@ -15,6 +17,7 @@
 	validator  requestValidator // used by the goroutine that reads, alone
 	// requestBegan is when the first byte of an incomplete request came, as nanoseconds since acceptedAt; 0: there is none.
 	requestBegan atomic.Int64
+	unhandled    atomic.Int64 // requests that were read whole and not looked at yet
 
 	client *clientConn // from the first request on; guarded by server.mu
 	closed bool        // guarded by server.mu
@@ -32,7 +35,9 @@
 // Read reads what the client sends. It fails with errMalformedRequest where that is no request of the client protocol.
 func (t *trackedConn) Read(buffer []byte) (int, error) {
 	n, err := t.Conn.Read(buffer)
-	if !t.validator.accept(buffer[:n]) {
+	valid := t.validator.accept(buffer[:n])
+	t.unhandled.Add(int64(t.validator.takeCompleted())) // first, lest the connection look idle for a moment
+	if !valid {
 		return 0, errMalformedRequest
 	}
 	if !t.validator.withinRequest() {
@@ -62,20 +67,49 @@
 	return !t.closed
 }
 
-// closeIfIdle closes the connection unless requests are in flight on it.
+// usage returns what is in use of what the client has sent.
+func (t *trackedConn) usage() permit.Connection {
+	return permit.Connection{
+		Unhandled:  int(t.unhandled.Load()),
+		Incomplete: t.requestBegan.Load() != 0,
+		Unread:     hasUnread(t.Conn),
+	}
+}
+
+// closeIfIdle closes the connection unless requests are in flight on it. A client that has never sent a whole request holds
+// it only if its reason spares incomplete requests.
 func (t *trackedConn) closeIfIdle(reason closeReason) {
 	t.server.mu.Lock()
 	client := t.client
-	if client == nil {
+	closing := client == nil && !t.closed && (!reason.sparesIncomplete() || t.usage().Check() == permit.Allowed)
+	if closing {
 		t.closed = true // a first request that arrives at this moment is not accepted any more
 	}
 	t.server.mu.Unlock()
-	if client == nil {
+	if closing {
 		reason.count()
 		t.Close()
+	}
+	if client != nil {
+		client.closeIfIdle(reason)
+	}
+}
+
+// closeAnyway closes the connection, whatever is in use on it.
+func (t *trackedConn) closeAnyway(reason closeReason) {
+	if client := t.attached(); client != nil {
+		client.close(reason)
 		return
 	}
-	client.closeIfIdle(reason)
+	reason.count()
+	t.Close()
+}
+
+// attached returns the client; nil before its first request.
+func (t *trackedConn) attached() *clientConn {
+	t.server.mu.Lock()
+	defer t.server.mu.Unlock()
+	return t.client
 }
 
 // idleSinceLocked reports whether no request is in flight, and since when. The caller holds server.mu.
@@ -86,26 +120,19 @@
 	return t.client.idleSince()
 }
 
-// timedOutLocked reports whether the connection is to be closed because the client has exceeded a timeout or, idle, was
-// accepted while the server began to drain. It never is with requests in flight, whose answers would be lost. The
-// caller holds server.mu.
+// timedOutLocked reports whether the connection is to be closed because the client has exceeded a timeout. It never is with
+// requests in flight, whose answers would be lost. The caller holds server.mu.
 func (t *trackedConn) timedOutLocked(now time.Time) bool {
 	since, idle := t.idleSinceLocked()
 	if !idle {
 		return false
 	}
-	if t.server.draining {
-		return true
-	}
 	timeouts := &t.server.Timeouts
 	if t.client == nil {
 		return now.After(since.Add(timeouts.FirstRequest))
 	}
-	return t.requestTimedOut(now) || now.After(since.Add(timeouts.Idle))
-}
-
-// requestTimedOut reports whether a request is incomplete for too long.
-func (t *trackedConn) requestTimedOut(now time.Time) bool {
-	began := t.requestBegan.Load()
-	return began != 0 && now.After(t.acceptedAt.Add(time.Duration(began)+t.server.Timeouts.Request))
+	if began := t.requestBegan.Load(); began != 0 {
+		return now.After(t.acceptedAt.Add(time.Duration(began) + timeouts.Request))
+	}
+	return now.After(since.Add(timeouts.Idle))
 }
--- a/internal/frontend/resp/validator.go
+++ b/internal/frontend/resp/validator.go
@@ -39,6 +39,7 @@
 	number        int  // their value
 	argumentsLeft int  // arguments of the request still to come
 	bytesLeft     int  // bytes of the argument, with its line end, still to come
+	completed     int  // requests that have come whole since takeCompleted
 }
 
 // accept reports whether data may follow what was accepted before. After false the validator is not to be used again.
@@ -67,10 +68,20 @@
 	v.bytesLeft -= skipped
 	if v.bytesLeft == 0 {
 		v.state = expectMarker
+		if v.argumentsLeft == 0 {
+			v.completed++
+		}
 	}
 	return skipped
 }
 
+// takeCompleted returns how many requests have come whole since it was last asked.
+func (v *requestValidator) takeCompleted() int {
+	completed := v.completed
+	v.completed = 0
+	return completed
+}
+
 // acceptHeaderByte takes a byte of a count or length: its marker, its digits, its line end.
 func (v *requestValidator) acceptHeaderByte(b byte) bool {
 	switch v.state {
--- a/internal/permit/attempt.go
+++ b/internal/permit/attempt.go
@@ -63,13 +63,16 @@
 
 // Connection holds the facts on whether a connection may be closed while its peer behaves.
 type Connection struct {
-	Open      int // requests without an answer
-	Unwritten int // messages that are queued or being written
+	Open       int  // requests without an answer
+	Unwritten  int  // messages that are queued or being written
+	Unhandled  int  // requests that were read and not looked at yet
+	Incomplete bool // a request has come in part
+	Unread     bool // the peer has sent something that was not read
 }
 
 // Check returns Allowed, or why the connection may not be closed.
 func (c Connection) Check() Reason {
-	if c.Open > 0 || c.Unwritten > 0 {
+	if c.Open > 0 || c.Unwritten > 0 || c.Unhandled > 0 || c.Incomplete || c.Unread {
 		return InUse
 	}
 	return Allowed
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -44,6 +44,9 @@
 	assert.Equal(t, Allowed, Connection{}.Check())
 	assert.Equal(t, InUse, Connection{Open: 1}.Check())
 	assert.Equal(t, InUse, Connection{Unwritten: 1}.Check())
+	assert.Equal(t, InUse, Connection{Unhandled: 1}.Check())
+	assert.Equal(t, InUse, Connection{Incomplete: true}.Check())
+	assert.Equal(t, InUse, Connection{Unread: true}.Check())
 }
 
 func TestAfter(t *testing.T) {
