--- a/cmd/dispatcher/server.go
+++ b/cmd/dispatcher/server.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,7 +39,8 @@
 	frontend   *resp.Server
 	listener   net.Listener   // the frontend's
 	invoke     *invokeService // nil if the invoke API is off
-	failed     chan error     // errors of the frontends that end the program; has room for one of each
+	listening  atomic.Bool    // the frontend accepts clients
+	failed     chan error     // errors of the listeners that end the program; has room for one of each
 }
 
 // run serves until SIGTERM or an interrupt, and returns once everything in flight is answered. The invoke API is on if
@@ -54,6 +56,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s.watchEndpoints(ctx)
+	if err := s.openAdmin(signals.terminate); err != nil {
+		return err
+	}
 	if invokeFile != "" {
 		if s.invoke, err = startInvoke(invokeFile, s.config, s.core, s.failed); err != nil {
 			return err
@@ -78,7 +83,7 @@
 		return nil, err
 	}
 	conf.WarnUnknown(os.Environ())
-	s := &server{configPath: configPath, config: conf, phases: lifecycle.New(), failed: make(chan error, 2)}
+	s := &server{configPath: configPath, config: conf, phases: lifecycle.New(), failed: make(chan error, 3)}
 	s.drainState = drain.New(drain.Evacuation(), drain.Termination(longestDeadline(conf.Settings)))
 	applyLimits(conf)
 	if s.core, err = dispatch.New(coreConfig(conf)); err != nil {
@@ -140,6 +145,7 @@
 	s.frontend = &resp.Server{Core: s.core, Ready: s.ready, Settings: s.config.Settings, Timeouts: resp.DefaultTimeouts,
 		DrainState: s.drainState}
 	go func() { s.failed <- s.frontend.Serve(s.listener, s.config.MaxClientConns()) }()
+	s.listening.Store(true)
 	slog.Info("listening", "name", s.config.Name, "addr", s.config.Listen)
 	return nil
 }
@@ -147,7 +153,7 @@
 // ready reports whether the dispatcher takes calls. The program counts as serving from the first time that it is asked
 // with the endpoints known. It is safe for concurrent use.
 func (s *server) ready() bool {
-	if s.core.EndpointsKnown() {
+	if s.listening.Load() && s.core.EndpointsKnown() {
 		s.phases.Enter(lifecycle.Serving)
 	}
 	return s.phases.Phase().Ready() && s.drainState.Phase() == drain.Serving
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -16,6 +17,9 @@
 	"kitefall/internal/settings"
 )
 
+// adminEnv is the environment variable that names the operators' address where the file does not.
+const adminEnv = "RELAY_ADMIN"
+
 // Values for what the configuration leaves out.
 const (
 	defaultSockets     = 1024
@@ -27,6 +31,7 @@
 type Config struct {
 	Name             string                  `json:"name"`
 	Listen           string                  `json:"listen"` // address for clients
+	Admin            string                  `json:"admin"`  // address for operators; empty: there is none
 	Limits           Limits                  `json:"limits"`
 	DiscoveryAddr    string                  `json:"board"`
 	InitialEndpoints discovery.WatchResponse `json:"known"` // used until the first answer of discovery
@@ -79,6 +84,10 @@
 	if _, _, err := net.SplitHostPort(c.DiscoveryAddr); err != nil {
 		return fmt.Errorf("board: %w", err)
 	}
+	c.Admin = cmp.Or(c.Admin, os.Getenv(adminEnv))
+	if _, _, err := net.SplitHostPort(c.Admin); c.Admin != "" && err != nil {
+		return fmt.Errorf("admin: %w", err)
+	}
 	return nil
 }
 
@@ -101,6 +110,7 @@
 func (c *Config) EqualExceptReloadable(other *Config) bool {
 	return c.Name == other.Name &&
 		c.Listen == other.Listen &&
+		c.Admin == other.Admin &&
 		c.Limits == other.Limits &&
 		bytes.Equal(c.RawSettings, other.RawSettings)
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -45,6 +45,19 @@
 	}
 }
 
+func TestReadTakesTheOperatorsAddress(t *testing.T) {
+	c, err := readConfig(t, "", "")
+	require.NoError(t, err)
+	assert.Empty(t, c.Admin)
+	t.Setenv(adminEnv, "127.0.0.1:4101")
+	c, err = readConfig(t, "", "")
+	require.NoError(t, err)
+	assert.Equal(t, "127.0.0.1:4101", c.Admin)
+	t.Setenv(adminEnv, "nowhere")
+	_, err = readConfig(t, "", "")
+	assert.ErrorContains(t, err, "admin")
+}
+
 func TestReadErrors(t *testing.T) {
 	_, err := readConfig(t, `"sockets":"many"`, "")
 	assert.Error(t, err)
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -16,6 +16,10 @@
 	heapMemoryShare = 0.75
 	// bodyMemoryShare is the part of the memory that the bodies of calls in flight may hold.
 	bodyMemoryShare = 0.2
+	// adminSocketShare is the part of the descriptors that connections of operators may hold, within bounds.
+	adminSocketShare = 1.0 / 16
+	minAdminConns    = 8
+	maxAdminConns    = 32
 	// maxInFlight limits the calls in flight where the settings allow more or set no limit.
 	maxInFlight = 20000
 )
@@ -43,6 +47,11 @@
 	return int(clientSocketShare * float64(c.Limits.Sockets))
 }
 
+// MaxAdminConns returns how many connections of operators may be open.
+func (c *Config) MaxAdminConns() int {
+	return min(max(minAdminConns, int(adminSocketShare*float64(c.Limits.Sockets))), maxAdminConns)
+}
+
 // MaxWorkerConns returns how many connections may be open to one worker, and to all workers together.
 func (c *Config) MaxWorkerConns() (perWorker, total int) {
 	return maxConnsPerWorker, int(workerSocketShare * float64(c.Limits.Sockets))
--- a/internal/config/unknown.go
+++ b/internal/config/unknown.go
@@ -13,7 +13,7 @@
 const environmentPrefix = "RELAY_"
 
 // knownVariables are the environment variables that the program reads, or whose values the configuration file repeats.
-var knownVariables = []string{"RELAY_NAME", "RELAY_LISTEN", "RELAY_CONFIG"}
+var knownVariables = []string{"RELAY_NAME", "RELAY_LISTEN", "RELAY_CONFIG", adminEnv}
 
 // WarnUnknown writes one line to the log that names the keys of the configuration file and the platform's environment
 // variables which the program does not know, if there are any: what is asked for by them is not done. The keys within the
