Divide descriptors in one place; a worker beyond the share takes the place of the longest idle

Ruled out as a mend: closing by time only, which bounds nothing. Package descriptors gives clients, workers, discovery, operators and the invoke API a share each. A connection to a worker beyond the share closes the one that has been idle longest, or waits for as long as a dial may take; a shortage of ours is 'not sent' and no failure of the worker. Descriptors are given back once closed, not before; more open than granted is a counted violation.

--- a/cmd/dispatcher/drain.go
+++ b/cmd/dispatcher/drain.go
@@ -27,6 +27,7 @@
 	if s.invoke != nil {
 		err = s.invoke.close()
 	}
+	s.descriptors.Check()
 	metrics.Log()
 	s.phases.Enter(lifecycle.Stopped)
 	return err
--- a/cmd/dispatcher/invoke.go
+++ b/cmd/dispatcher/invoke.go
@@ -11,6 +11,7 @@
 
 	"kitefall/internal/config"
 	"kitefall/internal/control"
+	"kitefall/internal/descriptors"
 	"kitefall/internal/dispatch"
 	"kitefall/internal/frontend/invoke"
 	"kitefall/internal/invocation/executor"
@@ -41,13 +42,28 @@
 	server   *invoke.Server
 }
 
-// startInvoke starts the invoke API as the operator's file says. An error of the server after the start is sent to failed.
-func startInvoke(invokeFile string, conf *config.Config, core *dispatch.Core, failed chan<- error) (*invokeService, error) {
-	invokeConfig, err := invoke.ReadConfig(invokeFile, conf.Settings)
+// readInvokeConfig reads the operator's file, if there is one, and returns how many connections it wants.
+func readInvokeConfig(invokeFile string, conf *config.Config) (invokeConfig *invoke.Config, connections int, err error) {
+	if invokeFile == "" {
+		return nil, 0, nil
+	}
+	invokeConfig, err = invoke.ReadConfig(invokeFile, conf.Settings)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
+	}
+	return invokeConfig, invokeConfig.MaxConns, nil
+}
+
+// startInvoke starts the invoke API as the operator's file says, with connections that take their descriptors from a share. An
+// error of the server after the start is sent to failed.
+func startInvoke(invokeConfig *invoke.Config, conf *config.Config, core *dispatch.Core, share *descriptors.Share,
+	failed chan<- error) (*invokeService, error) {
+	if share.Limit() < invokeConfig.MaxConns {
+		slog.Warn("invoke: fewer connections than configured, for want of descriptors", "configured", invokeConfig.MaxConns,
+			"allowed", share.Limit())
 	}
 	s := &invokeService{core: core}
+	var err error
 	if s.identity, err = waitForIdentity(invokeConfig.WorkloadAPI); err != nil {
 		return nil, err
 	}
@@ -64,7 +80,7 @@
 	}
 	s.server = invoke.New(invokeConfig, s.executor, s.identity)
 	go func() { // ended by close
-		if err := s.server.Serve(listener); err != nil {
+		if err := s.server.Serve(share.Listener(listener)); err != nil {
 			failed <- err
 		}
 	}()
--- a/cmd/dispatcher/operators.go
+++ b/cmd/dispatcher/operators.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return err
 	}
-	operators := admin.New(operations{server: s}, s.config.MaxAdminConns())
+	operators := admin.New(operations{server: s}, s.descriptors.Operators)
 	go func() {
 		if err := operators.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			s.failed <- err
--- a/cmd/dispatcher/server.go
+++ b/cmd/dispatcher/server.go
@@ -15,9 +15,11 @@
 
 	"kitefall/internal/balancer"
 	"kitefall/internal/config"
+	"kitefall/internal/descriptors"
 	"kitefall/internal/discovery"
 	"kitefall/internal/dispatch"
 	"kitefall/internal/drain"
+	"kitefall/internal/frontend/invoke"
 	"kitefall/internal/frontend/resp"
 	"kitefall/internal/lifecycle"
 	"kitefall/internal/metrics"
@@ -30,17 +32,19 @@
 // server is the dispatcher as a network service: the core, what feeds it with endpoints, and its frontends. It serves
 // once, from newServer to the end of drain.
 type server struct {
-	configPath string
-	config     *config.Config // as read at the start; a reload changes nothing in it
-	phases     *lifecycle.Lifecycle
-	drainState *drain.State // whether clients are sent away
-	core       *dispatch.Core
-	watcher    *discovery.Watcher
-	frontend   *resp.Server
-	listener   net.Listener   // the frontend's
-	invoke     *invokeService // nil if the invoke API is off
-	listening  atomic.Bool    // the frontend accepts clients
-	failed     chan error     // errors of the listeners that end the program; has room for one of each
+	configPath   string
+	config       *config.Config // as read at the start; a reload changes nothing in it
+	phases       *lifecycle.Lifecycle
+	drainState   *drain.State // whether clients are sent away
+	descriptors  *descriptors.Budget
+	core         *dispatch.Core
+	watcher      *discovery.Watcher
+	frontend     *resp.Server
+	listener     net.Listener   // the frontend's
+	invokeConfig *invoke.Config // nil if the invoke API is off
+	invoke       *invokeService // nil if the invoke API is off
+	listening    atomic.Bool    // the frontend accepts clients
+	failed       chan error     // errors of the listeners that end the program; has room for one of each
 }
 
 // run serves until SIGTERM or an interrupt, and returns once everything in flight is answered. The invoke API is on if
@@ -49,7 +53,7 @@
 func run(configPath, invokeFile string) error {
 	signals := notifySignals() // first of all: an unhandled SIGHUP would end the program
 	defer signals.stop()
-	s, err := newServer(configPath)
+	s, err := newServer(configPath, invokeFile)
 	if err != nil {
 		return err
 	}
@@ -59,8 +63,8 @@
 	if err := s.openAdmin(signals.terminate); err != nil {
 		return err
 	}
-	if invokeFile != "" {
-		if s.invoke, err = startInvoke(invokeFile, s.config, s.core, s.failed); err != nil {
+	if s.invokeConfig != nil {
+		if s.invoke, err = startInvoke(s.invokeConfig, s.config, s.core, s.descriptors.Devices, s.failed); err != nil {
 			return err
 		}
 	}
@@ -76,27 +80,34 @@
 	}
 }
 
-// newServer reads the configuration, applies its resource limits to the process, and starts the core.
-func newServer(configPath string) (*server, error) {
+// newServer reads the configuration, and the operator's file if there is one, applies its resource limits to the process, and starts the core.
+func newServer(configPath, invokeFile string) (*server, error) {
 	conf, err := config.Read(configPath)
 	if err != nil {
 		return nil, err
 	}
 	conf.WarnUnknown(os.Environ())
+	invokeConfig, devices, err := readInvokeConfig(invokeFile, conf)
+	if err != nil {
+		return nil, err
+	}
 	s := &server{configPath: configPath, config: conf, phases: lifecycle.New(), failed: make(chan error, 3)}
 	s.drainState = drain.New(drain.Evacuation(), drain.Termination(longestDeadline(conf.Settings)))
+	s.invokeConfig = invokeConfig
+	s.descriptors = descriptors.NewBudget(conf.Descriptors(devices))
 	applyLimits(conf)
-	if s.core, err = dispatch.New(coreConfig(conf)); err != nil {
+	if s.core, err = dispatch.New(coreConfig(conf, s.descriptors)); err != nil {
 		return nil, err
 	}
-	go logMetrics() // runs until the end of the process
-	go s.core.Run() // ended by closing the invoke service, else by the end of the process
+	go s.logMetrics() // runs until the end of the process
+	go s.core.Run()   // ended by closing the invoke service, else by the end of the process
 	return s, nil
 }
 
 // logMetrics writes the counters into the log from time to time.
-func logMetrics() {
+func (s *server) logMetrics() {
 	for range time.Tick(metricsInterval) {
+		s.descriptors.Check()
 		metrics.Log()
 	}
 }
@@ -108,8 +119,7 @@
 }
 
 // coreConfig translates the configuration file into the configuration of the core and its connection pools.
-func coreConfig(conf *config.Config) dispatch.Config {
-	connsPerWorker, connsTotal := conf.MaxWorkerConns()
+func coreConfig(conf *config.Config, budget *descriptors.Budget) dispatch.Config {
 	return dispatch.Config{
 		Settings:     conf.Settings,
 		Seed:         conf.Seed,
@@ -119,8 +129,8 @@
 			DialTimeout: conf.Settings.DialTimeout,
 			IdleTimeout: conf.Connections.IdleClose,
 			MaxStreams:  conf.Connections.Streams,
-			MaxConns:    connsPerWorker,
-			ConnLimit:   worker.NewConnLimit(connsTotal),
+			MaxConns:    conf.MaxConnsPerWorker(),
+			ConnLimit:   worker.NewConnLimit(budget.Workers),
 			BreakRate:   worker.NewBreakRate(conf.Connections.Handshake),
 		},
 	}
@@ -128,7 +138,7 @@
 
 // watchEndpoints keeps the core's list of endpoints up to date until ctx ends, starting with the configured list.
 func (s *server) watchEndpoints(ctx context.Context) {
-	s.watcher = discovery.NewWatcher(s.config.DiscoveryAddr, s.core.UpdateEndpoints)
+	s.watcher = discovery.NewWatcher(s.config.DiscoveryAddr, s.descriptors.Discovery, s.core.UpdateEndpoints)
 	go func() {
 		s.watcher.Seed(s.config.InitialEndpoints)
 		s.watcher.Run(ctx)
@@ -144,7 +154,7 @@
 	}
 	s.frontend = &resp.Server{Core: s.core, Ready: s.ready, Settings: s.config.Settings, Timeouts: resp.DefaultTimeouts,
 		DrainState: s.drainState}
-	go func() { s.failed <- s.frontend.Serve(s.listener, s.config.MaxClientConns()) }()
+	go func() { s.failed <- s.frontend.Serve(s.listener, s.descriptors.Clients) }()
 	s.listening.Store(true)
 	slog.Info("listening", "name", s.config.Name, "addr", s.config.Listen)
 	return nil
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"kitefall/internal/descriptors"
 )
 
 // The operators' calls.
@@ -40,13 +42,13 @@
 
 // Server answers the operators' calls. Serve may be called once; Close may be called at any time.
 type Server struct {
-	http     http.Server
-	maxConns int
+	http        http.Server
+	descriptors *descriptors.Share
 }
 
-// New returns a server that holds at most maxConns connections; the newest callers are served.
-func New(operations Operations, maxConns int) *Server {
-	s := &Server{maxConns: maxConns}
+// New returns a server that takes the descriptors of its connections from a share; the newest callers are served.
+func New(operations Operations, share *descriptors.Share) *Server {
+	s := &Server{descriptors: share}
 	s.http = http.Server{
 		Handler:        routes(operations),
 		ReadTimeout:    readTimeout,
@@ -60,7 +62,7 @@
 
 // Serve answers the calls on a listener until Close. Its error is never nil, and http.ErrServerClosed after Close.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.http.Serve(newBoundedListener(ln, s.maxConns))
+	return s.http.Serve(newBoundedListener(ln, s.descriptors))
 }
 
 // Close closes the listener and all connections.
--- /dev/null
+++ b/internal/descriptors/descriptors_test.go
@@ -0,0 +1,113 @@
+package descriptors
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"kitefall/internal/metrics"
+)
+
+// Whatever the limit, the shares and what the process itself needs stay within it, and nobody is left without.
+func TestSharesStayWithinTheLimit(t *testing.T) {
+	for _, limit := range []int{48, 64, 96, 192, 256, 384, 576, 1024, 4096} {
+		for _, devices := range []int{0, 128} {
+			if devices > 0 && limit < 192 {
+				continue // too few for the invoke API
+			}
+			s := Divide(limit, devices)
+			assert.LessOrEqual(t, s.Total()+ownFiles(devices), limit, "%d: %+v", limit, s)
+			for _, share := range []int{s.Clients, s.Workers, s.Discovery, s.Operators} {
+				assert.Positive(t, share, "%d: %+v", limit, s)
+			}
+		}
+	}
+	assert.Equal(t, Shares{Clients: 1, Workers: 1, Discovery: 4, Operators: 2}, Divide(1, 0))
+}
+
+func TestShareGivesNoMoreThanItHas(t *testing.T) {
+	s := NewShare(10)
+	var taken sync.WaitGroup
+	granted := make(chan bool, 40)
+	for range cap(granted) {
+		taken.Go(func() { granted <- s.TryAcquire() })
+	}
+	taken.Wait()
+	close(granted)
+	count := 0
+	for ok := range granted {
+		if ok {
+			count++
+		}
+	}
+	assert.Equal(t, 10, count)
+	assert.Equal(t, 10, s.InUse())
+	s.Release()
+	assert.True(t, s.TryAcquire())
+}
+
+func TestReleasingTwiceIsCounted(t *testing.T) {
+	before := metrics.Violations.Get(violationReleased)
+	NewShare(1).Release()
+	assert.Equal(t, before+1, metrics.Violations.Get(violationReleased))
+}
+
+func TestDialHoldsADescriptorUntilClosed(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	s := NewShare(1)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	conn, err := s.DialContext(ctx, "tcp", ln.Addr().String())
+	require.NoError(t, err)
+	_, err = s.DialContext(ctx, "tcp", ln.Addr().String())
+	assert.ErrorIs(t, err, ErrNone)
+	conn.Close()
+	conn.Close()
+	assert.Zero(t, s.InUse())
+	ln.Close()
+	_, err = s.DialContext(ctx, "tcp", ln.Addr().String())
+	assert.Error(t, err)
+	assert.Zero(t, s.InUse(), "a dial that fails gives it back")
+}
+
+func TestListenerHoldsADescriptorForEachConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := NewShare(1)
+	shared := s.Listener(ln)
+	defer shared.Close()
+	accepted := make(chan net.Conn)
+	go func() {
+		for conn, err := shared.Accept(); err == nil; conn, err = shared.Accept() {
+			accepted <- conn
+		}
+	}()
+	for range 3 {
+		client, err := net.Dial("tcp", ln.Addr().String())
+		require.NoError(t, err)
+		defer client.Close()
+	}
+	for range 3 {
+		conn := <-accepted
+		assert.Equal(t, 1, s.InUse())
+		conn.Close()
+	}
+}
+
+func TestDescriptorsBeyondTheBudgetAreCounted(t *testing.T) {
+	b := NewBudget(Shares{Clients: 5, Workers: 5})
+	require.True(t, b.Clients.TryAcquire())
+	before := metrics.Violations.Get(violationUnaccounted)
+	b.compare(1 + runtimeShare)
+	assert.Equal(t, before, metrics.Violations.Get(violationUnaccounted))
+	b.compare(1 + runtimeShare + 1)
+	assert.Equal(t, before+1, metrics.Violations.Get(violationUnaccounted))
+	assert.Contains(t, b.String(), "clients=1/5 workers=0/5")
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"kitefall/internal/balancer"
+	"kitefall/internal/descriptors"
 	"kitefall/internal/logthrottle"
 )
 
@@ -39,9 +40,6 @@
 // what is known would be polled in a busy loop.
 var errNothingNew = errors.New("poll was answered early without new events")
 
-// httpClient connects without a proxy, whatever the environment says.
-var httpClient = &http.Client{Transport: &http.Transport{}}
-
 // The logs of polls are throttled, since a server can make them fail and succeed in turn.
 var (
 	pollFailedLog    = logthrottle.New()
@@ -53,6 +51,7 @@
 // Seed must not be called during Run. SetAddress may be called from any goroutine at any time.
 type Watcher struct {
 	onUpdate func(Update)
+	client   *http.Client
 	revision int64 // of the last event that was passed on
 	hasList  bool  // an event with the whole list was passed on
 	failing  bool  // the last poll failed
@@ -62,10 +61,16 @@
 	addrChanged chan struct{} // closed when addr changes, and replaced
 }
 
-// NewWatcher returns a watcher of the endpoint list at addr (host:port). Updates go to onUpdate, which is called from the
-// goroutine of Seed or Run.
-func NewWatcher(addr string, onUpdate func(Update)) *Watcher {
-	return &Watcher{addr: addr, onUpdate: onUpdate, addrChanged: make(chan struct{})}
+// NewWatcher returns a watcher of the endpoint list at addr (host:port), whose connections take their descriptors from a
+// share. Updates go to onUpdate, which is called from the goroutine of Seed or Run.
+func NewWatcher(addr string, share *descriptors.Share, onUpdate func(Update)) *Watcher {
+	transport := &http.Transport{ // without a proxy, whatever the environment says
+		DialContext:         share.DialContext,
+		MaxIdleConnsPerHost: 1,
+		MaxIdleConns:        1,
+	}
+	return &Watcher{addr: addr, onUpdate: onUpdate, client: &http.Client{Transport: transport},
+		addrChanged: make(chan struct{})}
 }
 
 // SetAddress has the watcher poll the server at addr from now on. The poll under way is abandoned, since the old server
@@ -151,7 +156,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	response, err := fetch(ctx, pollURL(addr, w.revision, pollWait))
+	response, err := w.fetch(ctx, pollURL(addr, w.revision, pollWait))
 	if err != nil {
 		return err
 	}
@@ -162,12 +167,12 @@
 }
 
 // fetch gets and decodes the server's answer.
-func fetch(ctx context.Context, url string) (WatchResponse, error) {
+func (w *Watcher) fetch(ctx context.Context, url string) (WatchResponse, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return WatchResponse{}, err
 	}
-	answer, err := httpClient.Do(request)
+	answer, err := w.client.Do(request)
 	if err != nil {
 		return WatchResponse{}, err
 	}
--- a/internal/drain/schedule.go
+++ b/internal/drain/schedule.go
@@ -1,6 +1,7 @@
-// Package drain decides how a process sends its clients away, on a call of the operators (evacuation) or because it is told
-// to end (termination). It is the one place for what may still be taken and when a client's connection has to go. The
-// frontend asks it for each request and each connection, and does what it says.
+// Package drain decides how a process sends its clients away, on a call of the operators (evacuation) or
+// because it is told to end (termination). It is the one place for what may still be taken and when a
+// client's connection has to go. The frontend asks it for each request and each connection, and does what it
+// says.
 //
 // The package does no I/O and reads no clock: it is told the time. Times are those of the monotonic clock.
 //
@@ -11,13 +12,13 @@
 
 // Schedule bounds how clients are sent away. All times are spans since the call.
 type Schedule struct {
-	// Linger is how long everything is taken as before, and idle connections stay open: clients notice late that the process
-	// is not ready, and a connection that was closed sooner would only be made again.
+	// Linger is how long everything is taken as before, and idle connections stay open: clients notice late that
+	// the process is not ready, and a connection that was closed sooner would only be made again.
 	Linger time.Duration
 	// AnswerBy is when all that was taken is answered.
 	AnswerBy time.Duration
-	// KeepUnusedSince spares connections at AnswerBy on which no request came after this: they end after their last answer.
-	// With 0 none is spared.
+	// KeepUnusedSince spares connections at AnswerBy on which no request came after this: they end after their
+	// last answer. With 0 none is spared.
 	KeepUnusedSince time.Duration
 	// CloseBy is when the last connection is closed that is not spared.
 	CloseBy time.Duration
@@ -26,10 +27,12 @@
 // The figures of the pages.
 const (
 	linger = 700 * time.Millisecond
-	// maxCountedDeadline is the most that a deadline counts for the earliest SIGKILL, and killDelay what comes on top.
+	// maxCountedDeadline is the most that a deadline counts for the earliest SIGKILL, and killDelay what comes
+	// on top.
 	maxCountedDeadline = 3 * time.Second
 	killDelay          = 700 * time.Millisecond
-	// holdsNoneAfter is when an evacuated process must hold no connection that is idle, or had a request in recentRequest.
+	// holdsNoneAfter is when an evacuated process must hold no connection that is idle, or had a request in
+	// recentRequest.
 	holdsNoneAfter = 4 * time.Second
 	recentRequest  = 2 * time.Second
 )
@@ -43,8 +46,8 @@
 	recentRequestMargin  = 100 * time.Millisecond
 )
 
-// Termination returns the schedule after SIGTERM, where the longest deadline of a class is as given; 0: it is not known. It
-// ends before the earliest SIGKILL.
+// Termination returns the schedule after SIGTERM, where the longest deadline of a class is as given; 0: it is
+// not known. It ends before the earliest SIGKILL.
 func Termination(longestDeadline time.Duration) Schedule {
 	if longestDeadline <= 0 || longestDeadline > maxCountedDeadline {
 		longestDeadline = maxCountedDeadline
@@ -63,8 +66,9 @@
 	}
 }
 
-// Admits reports whether a request is taken that comes when so much time has passed, and whose client waits for so long. One
-// that is not would have to be answered before its time, or keep its connection in use until the last moment.
+// Admits reports whether a request is taken that comes when so much time has passed, and whose client waits
+// for so long. One that is not would have to be answered before its time, or keep its connection in use until
+// the last moment.
 func (s Schedule) Admits(elapsed, timeLeft time.Duration) bool {
 	return elapsed < s.Linger || elapsed+timeLeft <= s.AnswerBy
 }
@@ -80,8 +84,8 @@
 	Close                         // close it, whatever is in use on it
 )
 
-// Judge returns what is to be done with a connection when so much time has passed, where the last request came at lastRequest;
-// negative: before the call.
+// Judge returns what is to be done with a connection when so much time has passed, where the last request
+// came at lastRequest; negative: before the call.
 func (s Schedule) Judge(elapsed, lastRequest time.Duration) Verdict {
 	spared := s.KeepUnusedSince > 0 && lastRequest < s.KeepUnusedSince
 	switch {
--- a/internal/drain/state.go
+++ b/internal/drain/state.go
@@ -29,7 +29,8 @@
 	changed  chan struct{} // closed when another situation takes its place
 }
 
-// State holds whether a process sends its clients away. It is safe for concurrent use, and none of its methods waits.
+// State holds whether a process sends its clients away. It is safe for concurrent use, and none of its
+// methods waits.
 type State struct {
 	evacuation  Schedule
 	termination Schedule
--- a/internal/fakes/core.go
+++ b/internal/fakes/core.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"kitefall/internal/balancer"
+	"kitefall/internal/descriptors"
 	"kitefall/internal/discovery"
 	"kitefall/internal/dispatch"
 	"kitefall/internal/worker"
@@ -58,7 +59,7 @@
 		IdleTimeout: 15 * time.Second,
 		MaxStreams:  32,
 		MaxConns:    4,
-		ConnLimit:   worker.NewConnLimit(64),
+		ConnLimit:   worker.NewConnLimit(descriptors.NewShare(64)),
 	}
 }
 
--- a/internal/frontend/resp/conn.go
+++ b/internal/frontend/resp/conn.go
@@ -172,17 +172,18 @@
 	}
 }
 
-// closeIfIdle closes the connection if nothing is in use on it. An incomplete request counts only where the reason spares it.
-func (c *clientConn) closeIfIdle(reason closeReason) {
+// closeIfIdle closes the connection if nothing is in use on it, and reports whether it did. An incomplete request counts only where the reason spares it.
+func (c *clientConn) closeIfIdle(reason closeReason) (closed bool) {
 	c.mu.Lock()
 	if c.closed || !c.mayCloseLocked(reason) {
 		c.mu.Unlock()
-		return
+		return false
 	}
 	c.closeLocked() // an idle connection has no requests to cancel
 	c.mu.Unlock()
 	reason.count()
 	c.netConn.Close()
+	return true
 }
 
 // closeLocked marks the connection as closed, ends the writer and removes the requests in flight. It returns the
--- a/internal/frontend/resp/listener.go
+++ b/internal/frontend/resp/listener.go
@@ -12,12 +12,11 @@
 // acceptRetryDelay is the pause after an accept that failed for want of descriptors or memory.
 const acceptRetryDelay = 10 * time.Millisecond
 
-// listener accepts connections for redcon, up to maxConns at a time, and tracks each with its server. When all are
-// taken, the connection that is idle longest makes room.
+// listener accepts connections for redcon, as many at a time as the server has descriptors for, and tracks each with its
+// server. When all are taken, the connection that is idle longest makes room.
 type listener struct {
 	net.Listener
-	server   *Server
-	maxConns int
+	server *Server
 }
 
 // Accept returns the next connection, a *trackedConn. Its only error is the end of the listener, wrapping
@@ -46,32 +45,27 @@
 func (l *listener) handleAcceptError(err error) {
 	metrics.Shortages.Add("accept")
 	l.server.logs.acceptFailed.Log(slog.LevelWarn, "frontend: cannot accept a connection", "err", err)
-	if idle := l.server.longestIdle(); idle != nil {
-		idle.closeIfIdle(closedForShortage)
-	}
+	l.server.closeOneIdle(closedForShortage)
 	time.Sleep(acceptRetryDelay)
 }
 
-// makeRoom closes idle connections until there is room for one more, and reports whether there is. Clients that connect
+// makeRoom takes a descriptor of the share for a connection, closes idle ones until there is one, and reports whether there
+// is. Clients that connect
 // and stay must not keep others out; nor may the frontend exceed its limit, since the remaining descriptors are for the
 // workers, and without these no request in flight could end well.
 func (l *listener) makeRoom() bool {
-	for l.full() {
-		idle := l.server.longestIdle()
-		if idle == nil {
-			break
+	for !l.server.descriptors.TryAcquire() {
+		if !l.server.closeOneIdle(closedForRoom) {
+			return false
 		}
-		idle.closeIfIdle(closedForRoom)
 	}
-	return !l.full()
+	return true
 }
 
-func (l *listener) full() bool { return l.server.ActiveConns() >= l.maxConns }
-
 func (l *listener) reject(conn net.Conn) {
 	l.server.logs.connRejected.Log(slog.LevelWarn,
 		"frontend: connection rejected, all connections have requests in flight",
-		"addr", conn.RemoteAddr().String(), "connections", l.maxConns)
+		"addr", conn.RemoteAddr().String(), "connections", l.server.descriptors.Limit())
 	closedRejected.count()
 	conn.Close()
 }
--- a/internal/frontend/resp/server.go
+++ b/internal/frontend/resp/server.go
@@ -9,12 +9,14 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/tidwall/redcon"
 
 	"kitefall/internal/balancer"
+	"kitefall/internal/descriptors"
 	"kitefall/internal/dispatch"
 	"kitefall/internal/drain"
 	"kitefall/internal/logthrottle"
@@ -50,8 +52,9 @@
 	// DrainState says whether clients are sent away.
 	DrainState *drain.State
 
-	logs       logs
-	requestIDs *requestIDs // of the requests in flight on all connections
+	logs        logs
+	descriptors *descriptors.Share
+	requestIDs  *requestIDs // of the requests in flight on all connections
 
 	mu         sync.Mutex
 	conns      map[*trackedConn]bool
@@ -66,14 +69,15 @@
 	requestFailed *logthrottle.Logger
 }
 
-// Serve accepts up to maxConns connections at a time on ln. It returns once ln is closed and the last connection has
+// Serve accepts connections on ln, and takes their descriptors from a share. It returns once ln is closed and the last connection has
 // ended. It must be called once only.
-func (s *Server) Serve(ln net.Listener, maxConns int) error {
+func (s *Server) Serve(ln net.Listener, share *descriptors.Share) error {
+	s.descriptors = share
 	s.init()
 	listenerEnded := make(chan struct{})
 	defer close(listenerEnded)
 	go s.sweepUntilLastConn(listenerEnded) // ends by itself after the last connection
-	limited := &listener{Listener: ln, server: s, maxConns: maxConns}
+	limited := &listener{Listener: ln, server: s}
 	return redcon.NewServer(ln.Addr().String(), s.handleFirstRequest, nil, nil).Serve(limited)
 }
 
@@ -149,23 +153,28 @@
 	return timedOut
 }
 
-// longestIdle returns the connection that costs least to close, see idleConn.cheaperThan; nil if all have requests in
-// flight.
-func (s *Server) longestIdle() *trackedConn {
+// closeOneIdle closes the connection that costs least to close, see idleConn.compare, and reports whether one was closed.
+func (s *Server) closeOneIdle(reason closeReason) bool {
+	for _, idle := range s.idleConns() {
+		if idle.conn.closeIfIdle(reason) { // else it is in use again
+			return true
+		}
+	}
+	return false
+}
+
+// idleConns returns the connections without requests in flight, in the order in which they may be closed.
+func (s *Server) idleConns() []idleConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var best idleConn
+	var idle []idleConn
 	for conn := range s.conns {
-		since, idle := conn.idleSinceLocked()
-		if !idle {
-			continue
-		}
-		candidate := idleConn{conn: conn, silent: conn.client == nil, since: since}
-		if best.conn == nil || candidate.cheaperThan(best) {
-			best = candidate
+		if since, isIdle := conn.idleSinceLocked(); isIdle {
+			idle = append(idle, idleConn{conn: conn, silent: conn.client == nil, since: since})
 		}
 	}
-	return best.conn
+	slices.SortFunc(idle, idleConn.compare)
+	return idle
 }
 
 // idleConn is a connection that may be closed to make room for another.
@@ -175,11 +184,13 @@
 	since  time.Time
 }
 
-// cheaperThan reports whether closing c does less harm than closing other: silent connections go first, then those idle
-// longest.
-func (c idleConn) cheaperThan(other idleConn) bool {
+// compare is negative if closing c does less harm than closing other: silent connections go first, then those idle longest.
+func (c idleConn) compare(other idleConn) int {
 	if c.silent != other.silent {
-		return c.silent
+		if c.silent {
+			return -1
+		}
+		return 1
 	}
-	return c.since.Before(other.since)
+	return c.since.Compare(other.since)
 }
--- a/internal/frontend/resp/trackedconn.go
+++ b/internal/frontend/resp/trackedconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,8 +20,9 @@
 	requestBegan atomic.Int64
 	unhandled    atomic.Int64 // requests that were read whole and not looked at yet
 
-	client *clientConn // from the first request on; guarded by server.mu
-	closed bool        // guarded by server.mu
+	client  *clientConn // from the first request on; guarded by server.mu
+	closed  bool        // guarded by server.mu
+	closing sync.Once
 }
 
 // track adds an accepted connection to those of the server.
@@ -48,14 +50,22 @@
 	return n, err
 }
 
-// Close closes the connection and makes room for another. It may be called more than once.
+// Close closes the connection, waits until its descriptor is closed, and makes room for another. It may be called more than
+// once; only the first call waits.
 func (t *trackedConn) Close() error {
-	t.server.mu.Lock()
-	t.closed = true
-	delete(t.server.conns, t)
-	t.server.connClosed.Broadcast()
-	t.server.mu.Unlock()
-	return t.Conn.Close()
+	var err error
+	t.closing.Do(func() {
+		t.server.mu.Lock()
+		t.closed = true
+		t.server.mu.Unlock()
+		err = t.Conn.Close()
+		t.server.mu.Lock()
+		defer t.server.mu.Unlock()
+		delete(t.server.conns, t)
+		t.server.descriptors.Release()
+		t.server.connClosed.Broadcast()
+	})
+	return err
 }
 
 // attach hands the connection to client, at its first request, and reports whether it is open still: it may have timed
@@ -76,9 +86,9 @@
 	}
 }
 
-// closeIfIdle closes the connection unless requests are in flight on it. A client that has never sent a whole request holds
+// closeIfIdle closes the connection unless requests are in flight on it, and reports whether it did. A client that has never sent a whole request holds
 // it only if its reason spares incomplete requests.
-func (t *trackedConn) closeIfIdle(reason closeReason) {
+func (t *trackedConn) closeIfIdle(reason closeReason) (closed bool) {
 	t.server.mu.Lock()
 	client := t.client
 	closing := client == nil && !t.closed && (!reason.sparesIncomplete() || t.usage().Check() == permit.Allowed)
@@ -86,13 +96,14 @@
 		t.closed = true // a first request that arrives at this moment is not accepted any more
 	}
 	t.server.mu.Unlock()
+	if client != nil {
+		return client.closeIfIdle(reason)
+	}
 	if closing {
 		reason.count()
 		t.Close()
 	}
-	if client != nil {
-		client.closeIfIdle(reason)
-	}
+	return closing
 }
 
 // closeAnyway closes the connection, whatever is in use on it.
--- a/internal/soak/incident2_test.go
+++ b/internal/soak/incident2_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -72,6 +74,22 @@
 	history, err := f.Finish()
 	require.NoError(t, err)
 	t.Log(Counts(history), history.Dispatchers)
+	logMetrics(t, f)
 	assert.Empty(t, Check(history))
 	assert.Positive(t, Counts(history)["answer:ok"])
 }
+
+// logMetrics writes the last counters of each dispatcher's process to the test's log.
+func logMetrics(t *testing.T, f *Fleet) {
+	t.Helper()
+	for _, d := range f.dispatchers {
+		for run := range d.runs {
+			text, err := os.ReadFile(f.logPath(d.number, run))
+			require.NoError(t, err)
+			if at := strings.LastIndex(string(text), "metrics "); at >= 0 {
+				line, _, _ := strings.Cut(string(text[at:]), "\n")
+				t.Logf("dispatcher %d run %d: %s", d.number, run, line)
+			}
+		}
+	}
+}
--- a/internal/worker/closereason.go
+++ b/internal/worker/closereason.go
@@ -6,6 +6,7 @@
 	"os"
 	"syscall"
 
+	"kitefall/internal/descriptors"
 	"kitefall/internal/metrics"
 )
 
@@ -15,6 +16,7 @@
 // The reasons.
 const (
 	closedIdle       closeReason = "idle"        // unused for too long, or of no further use
+	closedForRoom    closeReason = "room"        // idle, and a connection to another worker needs its descriptor
 	closedPool       closeReason = "pool_closed" // with its pool
 	closedByWorker   closeReason = "worker"      // the worker has closed it
 	closedReset      closeReason = "reset"       // by the worker or the network
@@ -49,7 +51,7 @@
 
 // isShortage reports whether an error means that this process lacks something: the peer is not to blame.
 func isShortage(err error) bool {
-	for _, shortage := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+	for _, shortage := range []error{descriptors.ErrNone, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
 		if errors.Is(err, shortage) {
 			return true
 		}
--- a/internal/worker/conn.go
+++ b/internal/worker/conn.go
@@ -85,9 +85,16 @@
 	return use.Check() == permit.Allowed && c.writing == nil
 }
 
-// run establishes the connection and writes to it until it is closed.
-func (c *conn) run(dialDeadline time.Time) {
-	if err := c.dial(dialDeadline); err != nil {
+// run establishes the connection and writes to it until it is closed. Unless it is granted a descriptor already, it waits for
+// one first, for as long as a dial may take: that time is not the worker's.
+func (c *conn) run(granted bool) {
+	if !granted {
+		if err := c.pool.config.ConnLimit.acquire(c, time.Now().Add(c.pool.config.DialTimeout)); err != nil {
+			c.end(err, nil)
+			return
+		}
+	}
+	if err := c.dial(time.Now().Add(c.pool.config.DialTimeout)); err != nil {
 		c.end(err, nil)
 		return
 	}
@@ -95,17 +102,19 @@
 	c.writeLoop()
 }
 
+// dial connects, with the descriptor that the connection was granted.
 func (c *conn) dial(deadline time.Time) error {
 	dialer := net.Dialer{Deadline: deadline}
 	netConn, err := dialer.Dial("tcp", c.pool.addr)
 	if err != nil {
+		c.pool.config.ConnLimit.release(c)
 		return err
 	}
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	c.netConn = netConn
 	if c.state == connClosed { // closed while the dial was under way
-		netConn.Close()
+		c.closeSocketLocked()
 	}
 	c.advanceLocked(connReady)
 	return nil
@@ -127,6 +136,9 @@
 	if c.inFlight[request.id] == request {
 		delete(c.inFlight, request.id)
 	}
+	if c.pool.config.ConnLimit.wanted() {
+		c.makeRoomLocked()
+	}
 	return request.endLocked()
 }
 
@@ -138,9 +150,40 @@
 	c.advanceLocked(connClosed)
 	close(c.closed)
 	c.pool.conns = slices.DeleteFunc(c.pool.conns, func(other *conn) bool { return other == c })
-	c.pool.config.ConnLimit.release()
 	if c.netConn != nil {
-		c.netConn.Close()
+		c.closeSocketLocked()
+	}
+}
+
+// closeSocketLocked closes the socket, and then gives its descriptor back.
+func (c *conn) closeSocketLocked() {
+	c.netConn.Close() // which waits until the descriptor is closed
+	c.pool.config.ConnLimit.release(c)
+}
+
+// idleSince reports whether the connection is established and idle, and when it was last used.
+func (c *conn) idleSince() (lastUsed time.Time, idle bool) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	return c.lastUsed, c.mayMakeRoomLocked()
+}
+
+// mayMakeRoomLocked reports whether the connection may be closed to give its descriptor to another.
+func (c *conn) mayMakeRoomLocked() bool {
+	return c.netConn != nil && c.state != connClosed && c.idleLocked()
+}
+
+// closeForRoom closes the connection if it is still idle.
+func (c *conn) closeForRoom() {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.makeRoomLocked()
+}
+
+func (c *conn) makeRoomLocked() {
+	if c.mayMakeRoomLocked() {
+		closedForRoom.count()
+		c.closeLocked()
 	}
 }
 
@@ -168,9 +211,13 @@
 	for _, request := range written {
 		c.finish(request, Result{Status: balancer.Reset})
 	}
+	result := Result{Status: balancer.ConnectFailed}
 	for _, request := range unwritten {
+		if isShortage(cause) { // of ours: the worker is not to blame
+			result = request.notStarted()
+		}
 		if !established || !c.pool.move(request) {
-			c.finish(request, Result{Status: balancer.ConnectFailed})
+			c.finish(request, result)
 		}
 	}
 }
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -188,10 +188,16 @@
 	if candidate != nil && !p.config.BreakRate.separates() {
 		return candidate
 	}
-	if len(p.conns) >= p.config.MaxConns || !p.config.ConnLimit.acquire(len(p.conns) == 0) {
+	if len(p.conns) >= p.config.MaxConns {
 		return candidate
 	}
-	return p.openConnLocked(now)
+	c := newConn(p, now)
+	granted := p.config.ConnLimit.tryAcquire(c)
+	if !granted && len(p.conns) > 0 {
+		return candidate
+	}
+	p.openConnLocked(c, granted)
+	return c
 }
 
 // leastLoadedLocked returns the connection with the fewest requests in flight of those that accept the id, or nil.
@@ -205,13 +211,11 @@
 	return best
 }
 
-// openConnLocked adds a connection, which ConnLimit has allowed, and starts it.
-func (p *Pool) openConnLocked(now time.Time) *conn {
-	c := newConn(p, now)
+// openConnLocked adds a connection and starts it. One that ConnLimit has granted no descriptor yet waits for it first.
+func (p *Pool) openConnLocked(c *conn, granted bool) {
 	p.conns = append(p.conns, c)
 	p.config.BreakRate.recordOpened()
-	go c.run(now.Add(p.config.DialTimeout))
-	return c
+	go c.run(granted)
 }
 
 // closeIdleLocked closes the idle connections that are of no further use.
