--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -20,9 +20,11 @@
 	workers   map[WorkerID]*worker
 	zones     map[string]*zone
 	ready     []*worker // sorted by ID
-	epoch     int       // counts changes of the endpoint list
-	meanLoad  float64   // of the ready workers
-	failOpen  bool      // most workers are unavailable: ejections are ignored
+	changes   listChanges
+	ranked    []rankedWorker // for makeOrder
+	unknown   placement      // for look
+	meanLoad  float64        // of the ready workers
+	failOpen  bool           // most workers are unavailable: ejections are ignored
 	functions map[FunctionID]*function
 	hotSet    hotSet
 
--- a/internal/balancer/dispatchers_test.go
+++ b/internal/balancer/dispatchers_test.go
@@ -16,6 +16,8 @@
 	callbacks map[time.Duration][]func()
 	sends     map[WorkerID][]time.Duration
 	loadCount int
+	functions int           // that are called, beside the first one
+	longest   time.Duration // that a balancer took for one event
 }
 
 // groupStep is how far the clock moves at a time.
@@ -24,7 +26,7 @@
 func newDispatcherGroup(t testing.TB, s Settings, balancers, workers int) *dispatcherGroup {
 	t.Helper()
 	g := &dispatcherGroup{rng: rand.New(rand.NewPCG(7, 7)), callbacks: map[time.Duration][]func(){},
-		sends: map[WorkerID][]time.Duration{}}
+		sends: map[WorkerID][]time.Duration{}, functions: 40}
 	s.Dispatchers = balancers
 	var list []Worker
 	for i := range workers {
@@ -53,7 +55,10 @@
 
 // event delivers an event to one balancer and answers its actions.
 func (g *dispatcherGroup) event(i int, e Event) {
-	for _, a := range g.balancers[i].Handle(g.now, e) {
+	begun := time.Now()
+	actions := g.balancers[i].Handle(g.now, e)
+	g.longest = max(g.longest, time.Since(begun))
+	for _, a := range actions {
 		switch a := a.(type) {
 		case Send:
 			g.sends[a.Worker] = append(g.sends[a.Worker], g.now)
@@ -74,6 +79,16 @@
 	}
 }
 
+// changeWorker has all balancers learn that a worker drains, or is ready again.
+func (g *dispatcherGroup) changeWorker(number int) {
+	id := WorkerID(fmt.Sprintf("w%02d", number))
+	changed := g.balancers[0].workers[id].Worker
+	changed.State = Draining - changed.State // between Ready and Draining
+	for i := range g.balancers {
+		g.event(i, EndpointsEvent{Scope: ScopeDelta, Workers: []Worker{changed}})
+	}
+}
+
 // play sends requests for some time, rate a second over all balancers, a fifth of them for one function.
 func (g *dispatcherGroup) play(span time.Duration, rate float64) {
 	for until := g.now + span; g.now < until; {
@@ -84,7 +99,7 @@
 			f()
 		}
 		for n := rate * groupStep.Seconds(); n > 0 && g.rng.Float64() < n; n-- {
-			f := g.rng.IntN(40)
+			f := g.rng.IntN(g.functions)
 			if g.rng.IntN(5) == 0 {
 				f = 0
 			}
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -24,18 +24,34 @@
 	}
 }
 
-// updateReady lists the ready workers anew, sorted by ID.
-func (b *Balancer) updateReady() {
-	b.ready = b.ready[:0]
-	for _, w := range b.workers {
-		if w.State == Ready {
-			b.ready = append(b.ready, w)
+// updateReady brings the list of ready workers, sorted by ID, up to date with workers that may have changed.
+func (b *Balancer) updateReady(workers []*worker) {
+	for _, w := range workers {
+		ready := w.State == Ready
+		if ready == w.listed && (!ready || w.fullWeight == w.listedWeight) {
+			continue
 		}
+		if ready != w.listed {
+			b.setListed(w, ready)
+		}
+		w.listedWeight = w.fullWeight
+		b.changes.add(w)
+	}
+}
+
+// setListed adds a worker to the ready ones, or takes it out.
+func (b *Balancer) setListed(w *worker, ready bool) {
+	w.listed = ready
+	place, _ := slices.BinarySearchFunc(b.ready, w, compareIDs)
+	if ready {
+		b.ready = slices.Insert(b.ready, place, w)
+	} else {
+		b.ready = slices.Delete(b.ready, place, place+1)
 	}
-	slices.SortFunc(b.ready, func(v, w *worker) int { return cmp.Compare(v.ID, w.ID) })
-	b.epoch++
 }
 
+func compareIDs(v, w *worker) int { return cmp.Compare(v.ID, w.ID) }
+
 // zone returns the record of a zone.
 func (b *Balancer) zone(name string) *zone {
 	z := b.zones[name]
@@ -88,19 +104,22 @@
 		b.polling = polling{active: false, changedAt: b.now}
 		return
 	}
+	var changed []*worker
 	if e.Scope != ScopeDelta {
 		for _, w := range b.workers {
 			w.setState(Removed, b.now)
+			changed = append(changed, w)
 		}
+		slices.SortFunc(changed, compareIDs)
 	}
 	for _, entry := range e.Workers {
-		b.updateWorker(entry)
+		changed = append(changed, b.updateWorker(entry))
 	}
-	b.updateReady()
+	b.updateReady(changed)
 }
 
-// updateWorker takes in one entry. After a fresh start the worker is warming up and holds no copies.
-func (b *Balancer) updateWorker(entry Worker) {
+// updateWorker takes in one entry and returns its worker. After a fresh start the worker is warming up and holds no copies.
+func (b *Balancer) updateWorker(entry Worker) *worker {
 	w := b.worker(entry.ID)
 	if entry.Weight <= 0 {
 		entry.Weight = 1
@@ -117,4 +136,5 @@
 		w.restart(b.initialWindow())
 		b.unloadAll(w)
 	}
+	return w
 }
--- a/internal/balancer/fleet_test.go
+++ b/internal/balancer/fleet_test.go
@@ -278,8 +278,8 @@
 	f.t.Helper()
 	for i := 0; ; i++ {
 		name := fmt.Sprintf("new%d", i)
-		primary := f.b.rendezvousOrder(&function{id: FunctionID(name), rendezvousEpoch: -1, groupSize: 1})
-		if suits(primary[0]) && f.b.functions[FunctionID(name)] == nil {
+		primary := f.b.workerAt(&function{rendezvous: rendezvous{hash: hashString(name)}}, 0)
+		if suits(primary) && f.b.functions[FunctionID(name)] == nil {
 			return name
 		}
 	}
--- a/internal/balancer/function.go
+++ b/internal/balancer/function.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 )
 
@@ -28,13 +27,12 @@
 
 	// The group: the workers that serve it in turn, groupSize of them from groupStart in rendezvous order. A
 	// rare function has a group of one, its primary worker.
-	hot             bool
-	groupStart      int
-	groupSize       int
-	demand          float64 // even shares of workers that it needs, by the queue depths its requests met
-	rendezvous      []*worker
-	rendezvousEpoch int // endpoint list that rendezvous was made of
-	placements      map[WorkerID]*placement
+	hot        bool
+	groupStart int
+	groupSize  int
+	demand     float64 // even shares of workers that it needs, by the queue depths its requests met
+	rendezvous rendezvous
+	placements map[WorkerID]*placement
 }
 
 // placement is what is believed of one function at one worker.
@@ -55,7 +53,8 @@
 func (b *Balancer) functionOf(e RequestEvent) *function {
 	f := b.functions[e.Function]
 	if f == nil {
-		f = &function{id: e.Function, rendezvousEpoch: -1, groupSize: 1, placements: map[WorkerID]*placement{}}
+		f = &function{id: e.Function, groupSize: 1, placements: map[WorkerID]*placement{}}
+		f.rendezvous.hash = hashString(string(e.Function))
 		b.functions[e.Function] = f
 	}
 	f.concurrency = max(1, e.Concurrency)
@@ -85,7 +84,17 @@
 // loadPatience is how long a request waits for a load of the function.
 func (f *function) loadPatience() time.Duration { return seconds(loadWaitFactor * f.loadTime) }
 
-// placement returns the record of the function at a worker.
+// look returns the record of the function at a worker, to be read until the next look. For a worker of which
+// nothing is known nothing is kept: a request may look at any number of workers.
+func (b *Balancer) look(f *function, w *worker) *placement {
+	if p := f.placements[w.ID]; p != nil {
+		return p
+	}
+	b.unknown = placement{worker: w}
+	return &b.unknown
+}
+
+// placement returns the record of the function at a worker, which is kept.
 func (f *function) placement(w *worker) *placement {
 	p := f.placements[w.ID]
 	if p == nil {
@@ -122,19 +131,3 @@
 	p.missed = true
 	p.missingUntil = until
 }
-
-// rendezvousOrder is the weighted rendezvous order of a function's workers; the first is its primary worker.
-func (b *Balancer) rendezvousOrder(f *function) []*worker {
-	if f.rendezvousEpoch != b.epoch {
-		f.rendezvousEpoch = b.epoch
-		f.rendezvous = append(f.rendezvous[:0], b.ready...)
-		hash := hashString(string(f.id))
-		for _, w := range f.rendezvous {
-			w.rendezvousKey = rendezvousKey(hash, w.hash, w.fullWeight)
-		}
-		slices.SortStableFunc(f.rendezvous, func(v, w *worker) int {
-			return cmp.Compare(v.rendezvousKey, w.rendezvousKey)
-		})
-	}
-	return f.rendezvous
-}
--- a/internal/balancer/hotset.go
+++ b/internal/balancer/hotset.go
@@ -69,7 +69,7 @@
 	for start := 0; start == 0 || start <= last && !b.lowTraffic(); start += f.groupSize {
 		calls := 0.0
 		for i := range f.groupSize {
-			calls += b.rendezvousOrder(f)[(start+i)%len(b.ready)].hotCalls
+			calls += b.workerAt(f, start+i).hotCalls
 		}
 		if start == 0 || calls+math.Sqrt(calls+least) < least {
 			best = start
--- a/internal/balancer/loadorders.go
+++ b/internal/balancer/loadorders.go
@@ -51,7 +51,7 @@
 func (b *Balancer) onLoadEnded(e LoadEndedEvent) {
 	f := b.functions[e.Function]
 	w := b.workers[e.Worker]
-	if f == nil || w == nil || !f.placement(w).ordered {
+	if f == nil || w == nil || !b.look(f, w).ordered {
 		return
 	}
 	p := f.placement(w)
@@ -122,18 +122,19 @@
 
 // preload orders the first missing copy of a function's group, unless an order is pending there.
 func (b *Balancer) preload(f *function) {
-	var next *placement
+	var next *worker
 	for i := range min(f.groupSize, len(b.ready)) {
-		p := f.placement(b.candidate(f, 0, i))
+		w := b.candidate(f, 0, i)
+		p := b.look(f, w)
 		if p.ordered {
 			return
 		}
 		if next == nil && b.mayPreload(f, p) {
-			next = p
+			next = w
 		}
 	}
 	if next != nil {
-		b.orderLoad(f, next, 1, b.loads.window.size)
+		b.orderLoad(f, f.placement(next), 1, b.loads.window.size)
 	}
 }
 
@@ -141,5 +142,5 @@
 	if b.isLoaded(p) || !b.needsLoadOrder(p) || b.now < p.noOrderUntil {
 		return false
 	}
-	return !p.worker.unavailable() && p.worker.class(f.class).rejectedInARow < maxRejectedInARow
+	return !p.worker.unavailable() && p.worker.healthOf(f.class).rejectedInARow < maxRejectedInARow
 }
--- a/internal/balancer/outlier.go
+++ b/internal/balancer/outlier.go
@@ -27,7 +27,7 @@
 
 // healthy leaves out workers that fail or reject too much of the class, or are unavailable.
 func (b *Balancer) healthy(r *request, w *worker) bool {
-	class := w.class(r.class.Name)
+	class := w.healthOf(r.class.Name)
 	limit := b.failureScoreLimit()
 	if r.class.Idempotency == NotIdempotent {
 		limit *= notIdempotentLimit
@@ -129,8 +129,12 @@
 	b.meanLoad = 0
 	for _, z := range b.zones {
 		z.outstandingTime = z.lostTime
+		b.checkZone(z)
 	}
 	for _, w := range b.ready {
+		if len(w.outstanding) == 0 && !w.unavailable() { // nearly all, in a large fleet: it has no load
+			continue
+		}
 		b.meanLoad += b.load(w) / float64(len(b.ready))
 		if len(w.outstanding) > 0 && b.stats.meanAnswer > 0 {
 			oldest := w.outstanding[0].sentAt
--- a/internal/balancer/placement.go
+++ b/internal/balancer/placement.go
@@ -6,6 +6,7 @@
 )
 
 const (
+	maxCandidates      = 128 // healthy workers that are looked at for one request
 	maxExtraCandidates = 3   // workers beyond its group that a request may go to
 	minCallsPerIdleTTL = 3.0 // expected calls within the idle time by which a copy is taken to be loaded
 	loadedTrustRatio   = 0.6 // a copy is believed to be loaded for this part of its idle time
@@ -15,11 +16,10 @@
 
 // candidate is the i-th worker for a function: its group from a rotation on, then onward in rendezvous order.
 func (b *Balancer) candidate(f *function, rotation, i int) *worker {
-	order := b.rendezvousOrder(f)
-	if size := min(f.groupSize, len(order)); i < size {
+	if size := min(f.groupSize, len(b.ready)); i < size {
 		i = (rotation + i) % size
 	}
-	return order[(f.groupStart+i)%len(order)]
+	return b.workerAt(f, f.groupStart+i)
 }
 
 // isLoaded reports whether a copy is believed to be loaded, by this dispatcher's own attempts.
@@ -100,10 +100,13 @@
 			continue
 		}
 		visited++
+		if visited > maxCandidates {
+			break
+		}
 		if b.lowTraffic() && visited > f.groupSize+r.extraCandidates+1 {
 			break
 		}
-		p := f.placement(w)
+		p := b.look(f, w)
 		overloaded := b.overloaded(w)
 		avoided := b.now < p.avoidUntil && b.lowTraffic()
 		inGroup := i < f.groupSize+r.extraCandidates
--- /dev/null
+++ b/internal/balancer/rendezvous_test.go
@@ -0,0 +1,90 @@
+package balancer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// plainOrder is the rendezvous order of a function, made the plain way.
+func plainOrder(b *Balancer, f *function) []*worker {
+	order := slices.Clone(b.ready)
+	slices.SortStableFunc(order, func(v, w *worker) int { return f.rendezvous.rank(v).compare(f.rendezvous.rank(w)) })
+	return order
+}
+
+// However the list changes, and however much of an order was looked at, it is that which would be made anew.
+func TestOrderFollowsTheList(t *testing.T) {
+	for _, workers := range []int{1, 5, 159, 160, 161, 400} {
+		t.Run(fmt.Sprint(workers), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(uint64(workers), 1))
+			b, err := New(testSettings(), 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var functions []*function
+			for i := range 8 {
+				functions = append(functions, b.functionOf(RequestEvent{Function: FunctionID(fmt.Sprint("fn", i))}))
+			}
+			changeList(b, random, ScopeFull, workers, workers)
+			for round := range 400 {
+				scope, changes := ScopeDelta, 1+random.IntN(3)
+				if round%50 == 49 {
+					scope, changes = ScopeFull, workers
+				}
+				if round%90 == 89 {
+					changes = 2 * maxListChanges
+				}
+				changeList(b, random, scope, workers, changes)
+				checkOrder(t, b, functions[random.IntN(len(functions))], random.IntN(2*workers+1))
+			}
+		})
+	}
+}
+
+// changeList has some workers become ready, drain, leave or change their weight.
+func changeList(b *Balancer, random *rand.Rand, scope UpdateScope, workers, changes int) {
+	var list []Worker
+	for i := range changes {
+		number := random.IntN(workers)
+		if scope == ScopeFull {
+			number = i
+		}
+		state := []WorkerState{Ready, Ready, Ready, Draining, Removed}[random.IntN(5)]
+		list = append(list, Worker{ID: WorkerID(fmt.Sprintf("w%03d", number)), State: state,
+			Weight: float64(1 + random.IntN(2))})
+	}
+	b.Handle(b.now+time.Millisecond, EndpointsEvent{Scope: scope, Workers: list})
+}
+
+// checkOrder compares the first so many workers of a function's order, which goes round.
+func checkOrder(t *testing.T, b *Balancer, f *function, length int) {
+	t.Helper()
+	if !slices.IsSortedFunc(b.ready, func(v, w *worker) int { return compareIDs(v, w) }) {
+		t.Fatal("the ready workers are not sorted")
+	}
+	want := plainOrder(b, f)
+	for i := range length {
+		if len(want) == 0 {
+			return
+		}
+		if got := b.workerAt(f, i); got != want[i%len(want)] {
+			t.Fatalf("at %d of %d: %s, want %s", i, len(want), got.ID, want[i%len(want)].ID)
+		}
+	}
+}
+
+// Looking at workers leaves nothing behind: what is kept of a function does not grow with the list.
+func TestLookingAtWorkersKeepsNothing(t *testing.T) {
+	g := newDispatcherGroup(t, testSettings(), 2, 2000)
+	g.play(3*time.Second, 60)
+	for _, b := range g.balancers {
+		for id, f := range b.functions {
+			if len(f.placements) > 200 || len(f.rendezvous.prefix) > 1500 {
+				t.Errorf("%s: %d placements, %d workers in order", id, len(f.placements), len(f.rendezvous.prefix))
+			}
+		}
+	}
+}
--- a/internal/balancer/worker.go
+++ b/internal/balancer/worker.go
@@ -5,21 +5,22 @@
 // worker is what is known of one worker.
 type worker struct {
 	Worker
-	zone          *zone   // that of Worker.Zone
-	fullWeight    float64 // Worker.Weight, or the largest seen where weights are live
-	hash          uint64  // of the ID
-	rendezvousKey float64 // in the rendezvous order that is being made
-	hotCalls      float64 // its part of this dispatcher's calls of hot functions
-	removedAt     time.Duration
-	outstanding   []*attempt // pending attempts, oldest first
-	slowStart     slowStart
-	window        concurrencyWindow // for this dispatcher's attempts in flight
-	latency       latencyHistory
-	lastContact   time.Duration // last sign of life
-	lastReset     time.Duration // when a connection to it last broke
-	ejection      ejection
-	fullUntil     time.Duration           // it rejected for lack of room
-	classes       map[string]*classHealth // by class name
+	zone         *zone   // that of Worker.Zone
+	fullWeight   float64 // Worker.Weight, or the largest seen where weights are live
+	hash         uint64  // of the ID
+	listed       bool    // it is among the ready workers
+	listedWeight float64 // fullWeight when the list last changed it
+	hotCalls     float64 // its part of this dispatcher's calls of hot functions
+	removedAt    time.Duration
+	outstanding  []*attempt // pending attempts, oldest first
+	slowStart    slowStart
+	window       concurrencyWindow // for this dispatcher's attempts in flight
+	latency      latencyHistory
+	lastContact  time.Duration // last sign of life
+	lastReset    time.Duration // when a connection to it last broke
+	ejection     ejection
+	fullUntil    time.Duration           // it rejected for lack of room
+	classes      map[string]*classHealth // by class name
 }
 
 func newWorker(id WorkerID, window float64) *worker {
@@ -31,7 +32,15 @@
 	}
 }
 
-// class returns the health record of a class.
+// healthOf returns the health of a class, to read.
+func (w *worker) healthOf(name string) classHealth {
+	if health := w.classes[name]; health != nil {
+		return *health
+	}
+	return classHealth{}
+}
+
+// class returns the health record of a class, which is kept.
 func (w *worker) class(name string) *classHealth {
 	health := w.classes[name]
 	if health == nil {
