--- a/internal/drain/schedule.go
+++ b/internal/drain/schedule.go
@@ -73,7 +73,7 @@
 	return elapsed < s.Linger || elapsed+timeLeft <= s.AnswerBy
 }
 
-// Verdict is what is to be done with a client's connection.
+// Verdict is what is to be done with a client's connection. A higher one takes precedence.
 type Verdict int
 
 // The verdicts.
--- a/internal/drain/state.go
+++ b/internal/drain/state.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,14 +22,19 @@
 // String returns the name of the phase in log lines.
 func (p Phase) String() string { return phaseNames[p] }
 
-// situation is a phase and since when it lasts. It is never changed.
+// situation is a phase and the schedules that are under way. It is never changed.
 type situation struct {
 	phase    Phase
-	since    time.Time
-	schedule Schedule
+	underWay []runningSchedule
 	changed  chan struct{} // closed when another situation takes its place
 }
 
+// runningSchedule is a schedule that has begun.
+type runningSchedule struct {
+	Schedule
+	begun time.Time
+}
+
 // State holds whether a process sends its clients away. It is safe for concurrent use, and none of its
 // methods waits.
 type State struct {
@@ -51,7 +57,7 @@
 	s.changing.Lock()
 	defer s.changing.Unlock()
 	if s.Phase() == Serving {
-		s.replaceLocked(&situation{phase: Evacuating, since: now, schedule: s.evacuation})
+		s.replaceLocked(&situation{phase: Evacuating, underWay: []runningSchedule{{s.evacuation, now}}})
 	}
 	return s.Phase()
 }
@@ -66,12 +72,14 @@
 	return s.Phase()
 }
 
-// Terminate begins to send the clients away for good, unless that has begun already.
+// Terminate begins to send the clients away for good, unless that has begun already. An evacuation that is
+// under way goes on beside it: both have to be kept.
 func (s *State) Terminate(now time.Time) {
 	s.changing.Lock()
 	defer s.changing.Unlock()
 	if s.Phase() != Terminating {
-		s.replaceLocked(&situation{phase: Terminating, since: now, schedule: s.termination})
+		underWay := append(slices.Clone(s.current.Load().underWay), runningSchedule{s.termination, now})
+		s.replaceLocked(&situation{phase: Terminating, underWay: underWay})
 	}
 }
 
@@ -90,17 +98,21 @@
 
 // Admits reports whether a request is taken that comes now and whose client waits until a deadline.
 func (s *State) Admits(now, deadline time.Time) bool {
-	current := s.current.Load()
-	return current.phase == Serving || current.schedule.Admits(now.Sub(current.since), deadline.Sub(now))
+	for _, schedule := range s.current.Load().underWay {
+		if !schedule.Admits(now.Sub(schedule.begun), deadline.Sub(now)) {
+			return false
+		}
+	}
+	return true
 }
 
 // Judge returns what is to be done now with a connection on which the last request came at a time.
 func (s *State) Judge(now, lastRequest time.Time) Verdict {
-	current := s.current.Load()
-	if current.phase == Serving {
-		return Keep
+	verdict := Keep
+	for _, schedule := range s.current.Load().underWay {
+		verdict = max(verdict, schedule.Judge(now.Sub(schedule.begun), lastRequest.Sub(schedule.begun)))
 	}
-	return current.schedule.Judge(now.Sub(current.since), lastRequest.Sub(current.since))
+	return verdict
 }
 
 // Linger returns how long after SIGTERM new connections are still taken.
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -36,6 +36,8 @@
 	MaxWait       time.Duration
 	CancelShare   float64 // part of the requests that the client cancels
 	CloseShare    float64 // part of the requests after which the client closes the connection
+	FreshShare    float64 // part of the requests that come on a connection of their own
+	PieceShare    float64 // part of these that are written in two pieces
 }
 
 // client sends requests to one dispatcher and records what comes of them.
@@ -87,10 +89,24 @@
 
 // sendOne sends one request on one of the connections.
 func (c *client) sendOne(load Load) {
+	if c.random.Float64() < load.FreshShare {
+		c.sendFresh(load)
+		return
+	}
 	conn := c.conn(c.random.IntN(cmp.Or(load.Conns, connsPerClient)))
 	if conn == nil {
 		return
 	}
+	request := c.newRequest(load, conn)
+	tag := conn.send(request)
+	if tag == 0 {
+		return
+	}
+	c.leaveLater(load, conn, tag, request)
+}
+
+// newRequest draws a request and records it.
+func (c *client) newRequest(load Load, conn *clientConn) *Request {
 	class := ClassIdempotent
 	if c.random.Float64() < 0.3 {
 		class = ClassNotIdempotent
@@ -105,12 +121,13 @@
 		Wait:       load.MinWait + time.Duration(c.random.Float64()*float64(spread)),
 	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.requests = append(c.requests, request)
-	c.mu.Unlock()
-	tag := conn.send(request)
-	if tag == 0 {
-		return
-	}
+	return request
+}
+
+// leaveLater has the client cancel some requests, close the connection after others, and give up all in the end.
+func (c *client) leaveLater(load Load, conn *clientConn, tag int, request *Request) {
 	draw := c.random.Float64()
 	leaveAfter := time.Duration(c.random.Float64() * float64(300*time.Millisecond))
 	switch {
@@ -140,6 +157,18 @@
 	if existing != nil && existing.isOpen() {
 		return existing
 	}
+	conn := c.dial()
+	if conn == nil {
+		return nil
+	}
+	c.mu.Lock()
+	c.conns[index] = conn
+	c.mu.Unlock()
+	return conn
+}
+
+// dial makes a connection; nil if there is none.
+func (c *client) dial() *clientConn {
 	if !c.fleet.accepting(c.dispatcher) {
 		return nil
 	}
@@ -156,9 +185,6 @@
 		all:     map[int]*Request{},
 	}
 	c.readers.Go(conn.read)
-	c.mu.Lock()
-	c.conns[index] = conn
-	c.mu.Unlock()
 	return conn
 }
 
@@ -188,14 +214,24 @@
 	if c.closed {
 		return 0
 	}
+	c.beginLocked(r)
+	_, err := io.WriteString(c.netConn, r.encode(c.tag))
+	return c.sentLocked(r, err)
+}
+
+// beginLocked makes a request known under the next tag.
+func (c *clientConn) beginLocked(r *Request) {
 	c.tag++
-	fields := fmt.Sprintf("id=%016x,wait=%d,key=%s,cost=40,spec=memory_mb:256;lanes:4;load_ms:60", r.ID,
-		r.Wait.Milliseconds(), r.Function)
 	r.Alone = len(c.open) == 0
 	c.open[c.tag] = r
 	c.all[c.tag] = r
-	if !c.writeLocked("CALL", strconv.Itoa(c.tag), r.Class, fields, "body") {
-		delete(c.open, c.tag) // not taken: its last byte was not written
+}
+
+// sentLocked notes that the last request was written, and returns its tag, or 0 if it was not written whole: then it was not
+// taken.
+func (c *clientConn) sentLocked(r *Request, err error) int {
+	if err != nil || c.closed {
+		delete(c.open, c.tag)
 		return 0
 	}
 	r.Sent = Now()
@@ -203,6 +239,13 @@
 	return c.tag
 }
 
+// encode returns the bytes of a request under a tag.
+func (r *Request) encode(tag int) string {
+	fields := fmt.Sprintf("id=%016x,wait=%d,key=%s,cost=40,spec=memory_mb:256;lanes:4;load_ms:60", r.ID,
+		r.Wait.Milliseconds(), r.Function)
+	return encodeWords("CALL", strconv.Itoa(tag), r.Class, fields, "body")
+}
+
 // cancel tells the dispatcher that the client no longer waits, unless the answer has come.
 func (c *clientConn) cancel(tag int) {
 	c.client.mu.Lock()
@@ -231,13 +274,17 @@
 	c.netConn.Close()
 }
 
-func (c *clientConn) writeLocked(arguments ...string) bool {
+func (c *clientConn) writeLocked(arguments ...string) {
+	io.WriteString(c.netConn, encodeWords(arguments...))
+}
+
+// encodeWords returns words as the client protocol writes them.
+func encodeWords(arguments ...string) string {
 	encoded := fmt.Sprintf("*%d\r\n", len(arguments))
 	for _, argument := range arguments {
 		encoded += fmt.Sprintf("$%d\r\n%s\r\n", len(argument), argument)
 	}
-	_, err := io.WriteString(c.netConn, encoded)
-	return err == nil
+	return encoded
 }
 
 // read takes answers until the connection ends.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -19,6 +19,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	d := f.dispatchers[number]
+	if isClosed(d.exited) {
+		return nil
+	}
 	d.discovery = (d.discovery + 1) % discoveryAddresses
 	if err := f.writeConfig(number, f.endpoints.known(number)); err != nil {
 		return err
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -28,6 +28,9 @@
 	FaultHangDiscovery FaultKind = "hang-discovery"
 	FaultNewFunctions  FaultKind = "new-functions"
 	FaultBurst         FaultKind = "burst"
+	FaultEvacuate      FaultKind = "evacuate" // operators send the clients away, and have them taken again
+	FaultSeries        FaultKind = "series"   // signals and operators' calls close together, which end with SIGTERM
+	FaultCrowd         FaultKind = "crowd"    // connections that never finish a request
 )
 
 // Fault is one fault of a plan.
@@ -36,6 +39,7 @@
 	Kind   FaultKind
 	Target int             // the dispatcher or worker
 	Length time.Duration   // how long it lasts
+	Series []Step          // of a FaultSeries
 	Steps  []wallstep.Step // of the wall clock of a restarted dispatcher
 }
 
@@ -47,7 +51,10 @@
 type Plan struct {
 	Seed        uint64
 	Dispatchers int
-	Workers     int
+	Workers     int // processes
+	Members     int // workers that each of them stands for
+	Limits      Limits
+	Deadline    time.Duration
 	Length      time.Duration
 	Load        Load
 	Steps       [][]wallstep.Step // of the dispatchers' wall clocks
@@ -63,34 +70,52 @@
 	maxSpares      = 4
 	loadOfCapacity = 0.5   // requests, as a part of what the workers can do
 	maxTotalRate   = 400.0 // ... and so many a second at most, over all dispatchers
+	largeRate      = 40.0  // requests a second of a dispatcher in a large fleet
 	burstFactor    = 3
 	// replacementDrain is how long a worker that is replaced drains.
 	replacementDrain = 2 * time.Second
 )
 
+// Two of five seeds have a large fleet: few dispatchers with tight limits, and thousands of workers.
+const (
+	largeSeedPeriod = 5
+	largeSeeds      = 2
+)
+
 // RandomPlan draws a plan from a seed. Faults overlap: each lasts up to seconds, and there are several in each second.
 func RandomPlan(seed uint64, length time.Duration) Plan {
 	random := rand.New(rand.NewPCG(seed, 1))
+	deadlines := []time.Duration{600 * time.Millisecond, time.Second, 2 * time.Second, 2500 * time.Millisecond, 5 * time.Second}
 	plan := Plan{
 		Seed:        seed,
 		Dispatchers: minDispatchers + random.IntN(maxDispatchers-minDispatchers+1),
 		Workers:     minWorkers + random.IntN(maxWorkers-minWorkers+1),
+		Members:     1,
+		Limits:      DefaultLimits(),
+		Deadline:    deadlines[random.IntN(len(deadlines))],
 		Length:      length,
 	}
 	totalRate := min(loadOfCapacity*float64(plan.Workers)*DefaultRules().WorkerRate, maxTotalRate)
+	if seed%largeSeedPeriod < largeSeeds {
+		plan.enlarge(random)
+		totalRate = largeRate * float64(plan.Dispatchers)
+	}
 	plan.Load = Load{
 		Rate:        totalRate / float64(plan.Dispatchers),
 		Functions:   20 + random.IntN(60),
-		MinWait:     200 * time.Millisecond,
-		MaxWait:     2 * time.Second,
+		MinWait:     plan.Deadline / 5,
+		MaxWait:     plan.Deadline,
 		CancelShare: 0.05,
 		CloseShare:  0.02,
+		FreshShare:  []float64{0, 0.1, 1}[random.IntN(3)],
+		PieceShare:  0.3,
 	}
 	for range plan.Dispatchers {
 		plan.Steps = append(plan.Steps, randomSteps(random, length))
 	}
 	kinds := []FaultKind{FaultReload, FaultReload, FaultTerminate, FaultKill, FaultCrashWorker, FaultReplaceWorker,
-		FaultHangWorker, FaultFreezeWorker, FaultFlush, FaultReset, FaultReset, FaultHangDiscovery, FaultNewFunctions, FaultBurst, FaultCrashWorker, FaultBurst}
+		FaultHangWorker, FaultFreezeWorker, FaultFlush, FaultReset, FaultReset, FaultHangDiscovery, FaultNewFunctions, FaultBurst, FaultCrashWorker, FaultBurst,
+		FaultEvacuate, FaultEvacuate, FaultSeries, FaultSeries, FaultCrowd}
 	for range int(length.Seconds() * (1.5 + 2*random.Float64())) {
 		plan.Faults = append(plan.Faults, randomFault(random, kinds, plan))
 	}
@@ -98,6 +123,15 @@
 	return plan
 }
 
+// enlarge makes the fleet a large one.
+func (p *Plan) enlarge(random *rand.Rand) {
+	totals := []int{300, 1000, 1000, 2000, 3200}
+	p.Dispatchers = 2 + random.IntN(3)
+	p.Workers = 4 + random.IntN(4)
+	p.Members = totals[random.IntN(len(totals))] / p.Workers
+	p.Limits = Limits{Cores: 0.4, MemoryMB: 64, Sockets: []int{192, 384}[random.IntN(2)]}
+}
+
 // randomSteps draws steps of a wall clock, from a second to some hours, some of them at the start of the process.
 func randomSteps(random *rand.Rand, length time.Duration) []wallstep.Step {
 	sizes := []time.Duration{time.Second, 3 * time.Second, 20 * time.Second, 400 * time.Second, time.Hour, 5 * time.Hour}
@@ -122,9 +156,10 @@
 		Length: time.Duration((0.2 + 2.8*random.Float64()) * float64(time.Second)),
 	}
 	switch fault.Kind {
-	case FaultReload, FaultTerminate, FaultKill:
+	case FaultReload, FaultTerminate, FaultKill, FaultEvacuate, FaultSeries, FaultCrowd:
 		fault.Target = random.IntN(plan.Dispatchers)
 		fault.Steps = randomSteps(random, plan.Length)
+		fault.Series = randomSeries(random)
 	default:
 		fault.Target = random.IntN(plan.Workers)
 	}
@@ -134,7 +169,7 @@
 // Run plays a plan with a dispatcher's program, with records and logs in a folder.
 func Run(program, folder string, plan Plan) (*History, error) {
 	config := Config{Program: program, Folder: folder, Dispatchers: plan.Dispatchers, Workers: plan.Workers,
-		Spares: maxSpares, Seed: plan.Seed, Rules: DefaultRules(), Worker: DefaultWorker(), Steps: plan.Steps}
+		Members: plan.Members, Limits: plan.Limits, Deadline: plan.Deadline, Spares: maxSpares, Seed: plan.Seed, Rules: DefaultRules(), Worker: DefaultWorker(), Steps: plan.Steps}
 	config.Worker.ErrorRate = 0.01
 	f, err := Start(config)
 	if err != nil {
@@ -210,7 +245,7 @@
 func (p *player) inject(fault Fault) {
 	f := p.fleet
 	switch fault.Kind {
-	case FaultReload, FaultTerminate, FaultKill:
+	case FaultReload, FaultTerminate, FaultKill, FaultEvacuate, FaultSeries:
 		process := fmt.Sprint("dispatcher ", fault.Target)
 		if !p.take(process) {
 			return
@@ -232,6 +267,8 @@
 		f.FlushWorkers()
 	case FaultHangDiscovery:
 		f.HangDiscovery(fault.Length)
+	case FaultCrowd:
+		f.CrowdDispatcher(fault.Target, fault.Length)
 	case FaultNewFunctions:
 		load := p.plan.Load
 		load.FirstFunction = int(fault.At / time.Millisecond)
@@ -255,6 +292,10 @@
 		err = p.fleet.RestartDispatcher(fault.Target, true, fault.Steps)
 	case FaultKill:
 		err = p.fleet.RestartDispatcher(fault.Target, false, fault.Steps)
+	case FaultEvacuate:
+		p.fleet.EvacuateDispatcher(fault.Target, fault.Length/2)
+	case FaultSeries:
+		err = p.fleet.SeriesAtDispatcher(fault.Target, fault.Series, fault.Steps)
 	}
 	p.noteError(err)
 }
