--- a/internal/frontend/resp/client_test.go
+++ b/internal/frontend/resp/client_test.go
@@ -28,6 +28,13 @@
 }
 
 func startServerWith(t *testing.T, maxConns int, timeouts resp.Timeouts,
+	workers ...*fakes.Worker) (*resp.Server, func() *client) {
+	t.Helper()
+	return startEvacuable(t, maxConns, timeouts, drain.Evacuation(), workers...)
+}
+
+// startEvacuable is as startServerWith; told to, the server sends its clients away by a schedule.
+func startEvacuable(t *testing.T, maxConns int, timeouts resp.Timeouts, evacuation drain.Schedule,
 	workers ...*fakes.Worker) (*resp.Server, func() *client) {
 	t.Helper()
 	core := fakes.NewCore(t, workers...)
@@ -36,7 +43,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { ln.Close() })
 	server := &resp.Server{Core: core, Ready: core.EndpointsKnown, Settings: fakes.Settings(), Timeouts: timeouts,
-		DrainState: drain.New(drain.Evacuation(), drain.Schedule{AnswerBy: time.Hour, CloseBy: time.Hour})}
+		DrainState: drain.New(evacuation, drain.Schedule{AnswerBy: time.Hour, CloseBy: time.Hour})}
 	server.Settings.Tenants = []balancer.Tenant{{Name: "acme"}}
 	go server.Serve(ln, descriptors.NewShare(maxConns))
 	connect := func() *client {
