--- a/cmd/dispatcher/invoke.go
+++ b/cmd/dispatcher/invoke.go
@@ -13,6 +13,7 @@
 	"kitefall/internal/control"
 	"kitefall/internal/descriptors"
 	"kitefall/internal/dispatch"
+	"kitefall/internal/drain"
 	"kitefall/internal/frontend/invoke"
 	"kitefall/internal/invocation/executor"
 	"kitefall/internal/invocation/store"
@@ -132,6 +133,39 @@
 	return invocations, clock, nil
 }
 
+// followDrain has the invoke API send its clients away, and take them again, as the state says, until the process is told to
+// end: what is to be done then is drain's business.
+func (s *invokeService) followDrain(state *drain.State) {
+	for {
+		changed := state.Changed() // before the phase, lest a change be missed
+		switch state.Phase() {
+		case drain.Terminating:
+			return
+		case drain.Evacuating:
+			s.evacuate(state.Evacuation(), changed)
+		case drain.Serving:
+			s.server.Rejoin()
+		}
+		<-changed
+	}
+}
+
+// evacuate follows a schedule, unless the state changes.
+func (s *invokeService) evacuate(schedule drain.Schedule, changed <-chan struct{}) {
+	begun := time.Now()
+	for _, step := range []struct {
+		at    time.Duration
+		carry func()
+	}{{schedule.Linger, s.server.Evacuate}, {schedule.AnswerBy, s.server.EndWaits}} {
+		select {
+		case <-time.After(time.Until(begun.Add(step.at))):
+			step.carry()
+		case <-changed:
+			return
+		}
+	}
+}
+
 // drain rejects new requests from now on. Without it a busy invoke API would never run out of calls in flight.
 func (s *invokeService) drain() { s.server.Drain() }
 
--- a/cmd/dispatcher/operators_test.go
+++ b/cmd/dispatcher/operators_test.go
@@ -103,3 +103,22 @@
 	})
 	assert.ErrorContains(t, run(s.configPath, ""), "192.0.2.1:4101")
 }
+
+// While another process still holds the clients' address, the process is not ready, though it knows the workers.
+func TestNotReadyBeforeClientsCanConnect(t *testing.T) {
+	s := newService(t, noDiscovery, fakes.NewWorker(t))
+	operators := freeAddress(t)
+	s.rewriteConfig(t, func(text string) string {
+		return strings.Replace(text, `"name"`, `"admin":"`+operators+`","name"`, 1)
+	})
+	previous, err := net.Listen("tcp", s.addr)
+	require.NoError(t, err)
+	s.start("")
+	dial(t, operators).Close()
+	time.Sleep(100 * time.Millisecond) // the list is known by now
+	assert.Equal(t, 503, callOperators(t, operators, "GET", "/api/ready"))
+	previous.Close()
+	require.Eventually(t, func() bool { return callOperators(t, operators, "GET", "/api/ready") == 200 }, waitTimeout, waitInterval)
+	require.NoError(t, signalSelf(syscall.SIGTERM))
+	assert.NoError(t, <-s.ended)
+}
--- a/cmd/dispatcher/server.go
+++ b/cmd/dispatcher/server.go
@@ -67,6 +67,7 @@
 		if s.invoke, err = startInvoke(s.invokeConfig, s.config, s.core, s.descriptors.Devices, s.failed); err != nil {
 			return err
 		}
+		go s.invoke.followDrain(s.drainState) // ended by SIGTERM
 	}
 	if err := s.openFrontend(signals.terminate); err != nil {
 		return err
--- a/internal/drain/state.go
+++ b/internal/drain/state.go
@@ -115,5 +115,8 @@
 	return verdict
 }
 
+// Evacuation returns the schedule of an evacuation.
+func (s *State) Evacuation() Schedule { return s.evacuation }
+
 // Linger returns how long after SIGTERM new connections are still taken.
 func (s *State) Linger() time.Duration { return s.termination.Linger }
--- a/internal/frontend/invoke/create.go
+++ b/internal/frontend/invoke/create.go
@@ -15,7 +15,7 @@
 // it comes while the client prefers to wait, or else with where to ask for it.
 func (s *Server) handleCreate(w http.ResponseWriter, r *http.Request, tenant string) error {
 	if s.draining.Load() {
-		return rejected(rejectionRetryAfter).withDetail("the dispatcher is being restarted")
+		return rejected(rejectionRetryAfter).withDetail("the dispatcher takes no clients at present")
 	}
 	begin := time.Now()
 	preferences := parsePreferences(r.Header)
--- a/internal/frontend/invoke/harness_test.go
+++ b/internal/frontend/invoke/harness_test.go
@@ -214,6 +214,12 @@
 	return accepted
 }
 
+// poll polls an invocation of tenant a once, with the longest wait that is allowed.
+func (f *testFrontend) poll(path string) response {
+	f.t.Helper()
+	return f.mustSend(f.clientA, http.MethodGet, path, "", "Prefer", "wait=20")
+}
+
 // awaitOutcome polls an invocation of tenant a until it has an outcome.
 func (f *testFrontend) awaitOutcome(path string) response {
 	f.t.Helper()
--- a/internal/frontend/invoke/invoke_test.go
+++ b/internal/frontend/invoke/invoke_test.go
@@ -149,3 +149,26 @@
 	_, err := store.Open(f.storePath, store.Options{})
 	assert.ErrorIs(t, err, invocation.ErrStorage)
 }
+
+// An evacuated server rejects new invocations and lets no poll wait; those in flight go on, and it takes clients again.
+func TestEvacuationEndsWaitsAndRejoinTakesClientsAgain(t *testing.T) {
+	w := fakes.NewWorker(t)
+	f := newTestFrontend(t, w)
+	deferred := f.invokeDeferred(bookPath, `"slot"`)
+	received := w.Next()
+	waited := make(chan int, 1)
+	go func() { waited <- f.poll(deferred.location()).status }()
+	require.Never(t, func() bool { return len(waited) > 0 }, 100*time.Millisecond, 10*time.Millisecond)
+	f.server.Evacuate()
+	f.clientA.CloseIdleConnections() // as the server does: what crosses that would be an error of the client's
+	assert.Equal(t, problem{status: 503, name: "refused", retryable: true}, f.invoke(bookPath, `"late slot"`).problem)
+	f.server.EndWaits()
+	assert.Equal(t, http.StatusAccepted, <-waited)
+	assert.Equal(t, http.StatusAccepted, f.poll(deferred.location()).status, "nor do later ones wait")
+	f.server.Rejoin()
+	received.OK(`"booked"`)
+	assert.Equal(t, `"booked"`, f.awaitOutcome(deferred.location()).body)
+	again := f.invokeDeferred(bookPath, `"next slot"`)
+	w.Next().OK(`"booked again"`)
+	assert.Equal(t, `"booked again"`, f.awaitOutcome(again.location()).body)
+}
--- a/internal/frontend/invoke/poll.go
+++ b/internal/frontend/invoke/poll.go
@@ -36,6 +36,7 @@
 	tenant, id string) error {
 	ctx, cancel := context.WithDeadline(r.Context(), waitUntil)
 	defer cancel()
+	defer context.AfterFunc(s.waits.Load().ctx, cancel)()
 	view, err := s.executor.Wait(ctx, tenant, id)
 	if err != nil {
 		return err
--- a/internal/frontend/invoke/server.go
+++ b/internal/frontend/invoke/server.go
@@ -36,7 +36,8 @@
 	executor     *executor.Executor
 	httpServer   *http.Server
 	slots        chan struct{} // holds an element for each request in flight
-	draining     atomic.Bool
+	draining     atomic.Bool   // new invocations are rejected
+	waits        atomic.Pointer[waitBound]
 	forbiddenLog *logthrottle.Logger
 }
 
@@ -48,6 +49,7 @@
 		slots:        make(chan struct{}, config.MaxInFlight),
 		forbiddenLog: logthrottle.New(),
 	}
+	s.waits.Store(newWaitBound())
 	s.httpServer = &http.Server{
 		Handler:           s.routes(),
 		TLSConfig:         newTLSConfig(identity),
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -18,7 +18,10 @@
 	programEnv   = "KITEFALL_SOAK_PROGRAM" // a dispatcher that package wallstep has built, in place of this version
 )
 
-const planLength = 8 * time.Second
+const (
+	planLength = 8 * time.Second
+	ciSeeds    = 5 // two of them with thousands of workers
+)
 
 // environmentNumber returns the number in an environment variable, or a default.
 func environmentNumber(t *testing.T, name string, otherwise int) int {
@@ -41,7 +44,7 @@
 	}
 	firstSeed := environmentNumber(t, firstSeedEnv, 1)
 	running := make(chan struct{}, environmentNumber(t, parallelEnv, 2))
-	for i := range environmentNumber(t, seedsEnv, 2) {
+	for i := range environmentNumber(t, seedsEnv, ciSeeds) {
 		seed := uint64(firstSeed + i)
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
