--- /dev/null
+++ b/internal/soak/player.go
@@ -0,0 +1,179 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Run plays a plan with a dispatcher's program, with records and logs in a folder.
+func Run(program, folder string, plan Plan) (*History, error) {
+	config := Config{Program: program, Folder: folder, Dispatchers: plan.Dispatchers, Workers: plan.Workers,
+		Members: plan.Members, Limits: plan.Limits, Deadline: plan.Deadline, Spares: maxSpares, Seed: plan.Seed, Rules: DefaultRules(), Worker: DefaultWorker(), Steps: plan.Steps}
+	config.Worker.ErrorRate = 0.01
+	f, err := Start(config)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	for _, steps := range plan.Steps {
+		for range steps {
+			f.count(FaultWallStep)
+		}
+	}
+	f.StartClients(plan.Load)
+	player := &player{fleet: f, plan: plan, busy: map[string]bool{}, nextSpare: plan.Workers}
+	if err := player.play(); err != nil {
+		return nil, err
+	}
+	return f.Finish()
+}
+
+// player injects the faults of a plan.
+type player struct {
+	fleet      *Fleet
+	plan       Plan
+	background sync.WaitGroup
+
+	mu        sync.Mutex
+	busy      map[string]bool // processes that a fault is at work on
+	nextSpare int
+	firstErr  error
+}
+
+// play injects each fault at its time, and returns once all have ended.
+func (p *player) play() error {
+	begin := Now()
+	for _, fault := range p.plan.Faults {
+		time.Sleep(fault.At - (Now() - begin))
+		p.background.Go(func() { p.inject(fault) })
+	}
+	time.Sleep(p.plan.Length - (Now() - begin))
+	p.background.Wait()
+	return p.firstErr
+}
+
+// take reserves a process for a fault, and reports whether no other one is at work on it.
+func (p *player) take(process string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.busy[process] {
+		return false
+	}
+	p.busy[process] = true
+	return true
+}
+
+// takeSpare returns the number of a worker to replace another by, and whether there is one left.
+func (p *player) takeSpare() (number int, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.nextSpare >= p.plan.Workers+maxSpares {
+		return 0, false
+	}
+	p.nextSpare++
+	return p.nextSpare - 1, true
+}
+
+func (p *player) release(process string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.busy, process)
+}
+
+// inject carries out a fault, unless another is at work on its target.
+func (p *player) inject(fault Fault) {
+	f := p.fleet
+	switch fault.Kind {
+	case FaultReload, FaultTerminate, FaultKill, FaultEvacuate, FaultSeries:
+		process := fmt.Sprint("dispatcher ", fault.Target)
+		if !p.take(process) {
+			return
+		}
+		defer p.release(process)
+		p.injectDispatcher(fault)
+	case FaultCrashWorker, FaultHangWorker, FaultFreezeWorker, FaultReset:
+		process := fmt.Sprint("worker ", fault.Target)
+		if !p.take(process) {
+			return
+		}
+		defer p.release(process)
+		p.injectWorker(fault)
+	case FaultReplaceWorker:
+		if !p.replaceWorker(fault) {
+			return
+		}
+	case FaultFlush:
+		f.FlushWorkers()
+	case FaultHangDiscovery:
+		f.HangDiscovery(fault.Length)
+	case FaultCrowd:
+		f.CrowdDispatcher(fault.Target, fault.Length)
+	case FaultNewFunctions:
+		load := p.plan.Load
+		load.FirstFunction = int(fault.At / time.Millisecond)
+		f.SetLoad(load)
+	case FaultBurst:
+		load := p.plan.Load
+		load.Rate *= burstFactor
+		f.SetLoad(load)
+		time.Sleep(fault.Length)
+		f.SetLoad(p.plan.Load)
+	}
+	f.count(fault.Kind)
+}
+
+func (p *player) injectDispatcher(fault Fault) {
+	var err error
+	switch fault.Kind {
+	case FaultReload:
+		err = p.fleet.Reload(fault.Target)
+	case FaultTerminate:
+		err = p.fleet.RestartDispatcher(fault.Target, true, fault.Steps)
+	case FaultKill:
+		err = p.fleet.RestartDispatcher(fault.Target, false, fault.Steps)
+	case FaultEvacuate:
+		p.fleet.EvacuateDispatcher(fault.Target, fault.Length/2)
+	case FaultSeries:
+		err = p.fleet.SeriesAtDispatcher(fault.Target, fault.Series, fault.Steps)
+	}
+	p.noteError(err)
+}
+
+func (p *player) injectWorker(fault Fault) {
+	var err error
+	switch fault.Kind {
+	case FaultCrashWorker:
+		err = p.fleet.CrashWorker(fault.Target, fault.Length)
+	case FaultHangWorker:
+		p.fleet.HangWorker(fault.Target, fault.Length)
+	case FaultFreezeWorker:
+		p.fleet.FreezeWorker(fault.Target, fault.Length)
+	case FaultReset:
+		p.fleet.ResetWorker(fault.Target)
+	}
+	p.noteError(err)
+}
+
+// replaceWorker replaces a worker, which no later fault is at work on, and reports whether that was possible.
+func (p *player) replaceWorker(fault Fault) bool {
+	process := fmt.Sprint("worker ", fault.Target)
+	if !p.take(process) {
+		return false
+	}
+	spare, ok := p.takeSpare()
+	if !ok {
+		p.release(process)
+		return false
+	}
+	p.noteError(p.fleet.ReplaceWorker(fault.Target, spare, replacementDrain))
+	return true
+}
+
+func (p *player) noteError(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil && p.firstErr == nil {
+		p.firstErr = err
+	}
+}
--- a/internal/soak/workerproc.go
+++ b/internal/soak/workerproc.go
@@ -1,47 +1,20 @@
 package soak
 
 import (
-	"encoding/binary"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"hash/crc32"
-	"io"
 	"math/rand/v2"
 	"net"
 	"os"
 	"os/signal"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
-
-	"kitefall/internal/fakes"
 )
 
 // workerEnv names the file that holds the configuration of a worker's process.
 const workerEnv = "KITEFALL_SOAK_WORKER"
 
-// Frames of the worker protocol (source: worker protocol) beside those of package fakes. They are not taken from package
-// worker, so that a fault there does not cancel itself out.
-const (
-	headSize     = 16
-	checksumSize = 4
-
-	codeCall   = 48
-	codeCancel = 49
-	codePing   = 50
-	codeLoad   = 52
-	codeUnload = 54
-	codeError  = 68
-	codePong   = 70
-)
-
-const maxFrameSize = 1 << 20
-
-var errBadFrame = errors.New("frame cannot be read")
-
 // WorkerConfig configures a worker's process.
 type WorkerConfig struct {
 	Members   []MemberConfig // the workers that the process stands for
@@ -237,85 +210,6 @@
 	}
 }
 
-// workerConn is a dispatcher's connection to the worker.
-type workerConn struct {
-	worker     *workerProcess
-	conn       *net.TCPConn
-	dispatcher int
-	gone       chan struct{} // closed with the connection
-	cancelled  sync.Map      // ids of calls that were given up
-	writing    sync.Mutex
-}
-
-// workerFrame is a command of a dispatcher.
-type workerFrame struct {
-	code   byte
-	id     uint64
-	fields map[string]string
-}
-
-func (w *workerProcess) serve(c *workerConn) {
-	w.mu.Lock()
-	w.conns[c.conn] = true
-	w.mu.Unlock()
-	defer func() {
-		w.mu.Lock()
-		delete(w.conns, c.conn)
-		w.mu.Unlock()
-		close(c.gone)
-		c.conn.Close()
-	}()
-	for {
-		received, err := readCommand(c.conn)
-		if errors.Is(err, errBadFrame) {
-			w.note(WorkerEvent{Kind: FramesBroken, Dispatcher: c.dispatcher})
-		}
-		if err != nil {
-			return
-		}
-		c.handle(received)
-	}
-}
-
-func (c *workerConn) handle(f workerFrame) {
-	switch f.code {
-	case codeCall:
-		max, _ := strconv.ParseFloat(f.fields["max"], 64)
-		c.worker.note(WorkerEvent{Kind: CallArrived, Dispatcher: c.dispatcher, Call: f.id, Class: f.fields["profile"],
-			Function: f.fields["thing"], Max: time.Duration(max * float64(time.Millisecond))})
-		go c.runCall(f)
-	case codeCancel:
-		c.cancelled.Store(f.id, true)
-	case codePing:
-		go c.answer(codePong, f.id, "", "")
-	case codeLoad:
-		c.worker.note(WorkerEvent{Kind: LoadArrived, Dispatcher: c.dispatcher, Function: f.fields["thing"]})
-		go c.load(f)
-	case codeUnload:
-		c.worker.unload(fmt.Sprintf("%016x", f.id))
-	}
-}
-
-// load carries out a load order.
-func (c *workerConn) load(f workerFrame) {
-	w := c.worker
-	w.awaitResume()
-	w.mu.Lock()
-	loading := w.functions[f.fields["thing"]]
-	isNew := loading == nil
-	if isNew {
-		loading = &loadedFunction{ready: make(chan struct{}), lastUsed: Now()}
-		w.functions[f.fields["thing"]] = loading
-	}
-	w.mu.Unlock()
-	if isNew {
-		time.Sleep(w.config.LoadTime)
-		close(loading.ready)
-	}
-	<-loading.ready
-	c.answer(fakes.CodeOK, f.id, "n=1", "")
-}
-
 func (w *workerProcess) unload(function string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -338,46 +232,6 @@
 	return loaded
 }
 
-// runCall answers a call, unless it is given up before it runs.
-func (c *workerConn) runCall(f workerFrame) {
-	w := c.worker
-	w.awaitResume()
-	loaded := w.use(f.fields["thing"])
-	if loaded == nil {
-		c.answer(fakes.CodeMiss, f.id, "", "")
-		return
-	}
-	if !w.enterQueue() {
-		c.answer(fakes.CodeFull, f.id, "", "")
-		return
-	}
-	select {
-	case <-loaded.ready:
-	case <-c.gone:
-		w.leaveQueue()
-		return
-	}
-	select {
-	case w.cores <- struct{}{}:
-		w.leaveQueue()
-	case <-c.gone:
-		w.leaveQueue()
-		return
-	}
-	defer func() { <-w.cores }()
-	if _, cancelled := c.cancelled.Load(f.id); cancelled {
-		return
-	}
-	w.note(WorkerEvent{Kind: CallRan, Dispatcher: c.dispatcher, Call: f.id, Class: f.fields["profile"]})
-	work, fails := w.draw()
-	time.Sleep(work)
-	if fails {
-		c.answer(codeError, f.id, "", "")
-		return
-	}
-	c.answer(fakes.CodeOK, f.id, "remark=hot", fmt.Sprintf("%016x", f.id))
-}
-
 // enterQueue reports whether there is room for a call that waits for a core.
 func (w *workerProcess) enterQueue() bool {
 	w.mu.Lock()
@@ -401,38 +255,3 @@
 	defer w.mu.Unlock()
 	return time.Duration(w.random.ExpFloat64() * float64(w.config.Work)), w.random.Float64() < w.config.ErrorRate
 }
-
-// answer writes an answer. Errors are ignored: the dispatcher may be gone.
-func (c *workerConn) answer(code byte, id uint64, fields, body string) {
-	c.worker.awaitResume()
-	c.writing.Lock()
-	defer c.writing.Unlock()
-	c.conn.Write(fakes.Frame(code, id, fields, body))
-}
-
-// readCommand reads a frame of the dispatcher.
-func readCommand(conn net.Conn) (workerFrame, error) {
-	head := make([]byte, headSize)
-	if _, err := io.ReadFull(conn, head); err != nil {
-		return workerFrame{}, err
-	}
-	fieldsLength := int(binary.BigEndian.Uint16(head[2:]))
-	bodyLength := int(binary.BigEndian.Uint32(head[4:]))
-	if bodyLength > maxFrameSize {
-		return workerFrame{}, errBadFrame
-	}
-	rest := make([]byte, fieldsLength+bodyLength+checksumSize)
-	if _, err := io.ReadFull(conn, rest); err != nil {
-		return workerFrame{}, err
-	}
-	content := rest[:fieldsLength+bodyLength]
-	if binary.BigEndian.Uint32(rest[len(content):]) != crc32.ChecksumIEEE(content) {
-		return workerFrame{}, errBadFrame
-	}
-	f := workerFrame{code: head[1], id: binary.BigEndian.Uint64(head[8:]), fields: map[string]string{}}
-	for pair := range strings.SplitSeq(string(rest[:fieldsLength]), ",") {
-		name, value, _ := strings.Cut(pair, "=")
-		f.fields[name] = value
-	}
-	return f, nil
-}
