--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -58,6 +58,7 @@
 	lastID         balancer.RequestID
 	requests       map[balancer.RequestID]*request
 	endpoints      map[balancer.WorkerID]*endpoint
+	removed        map[balancer.WorkerID]bool // those of endpoints that were removed
 	startTimes     *balancer.StartTimes
 	loads          map[loadKey]*loadOrder
 	timers         timerQueue
@@ -83,6 +84,7 @@
 		clockSteps: monotonic.NewStepDetector(),
 		requests:   map[balancer.RequestID]*request{},
 		endpoints:  map[balancer.WorkerID]*endpoint{},
+		removed:    map[balancer.WorkerID]bool{},
 		loads:      map[loadKey]*loadOrder{},
 	}, nil
 }
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -100,3 +102,28 @@
 	assert.Equal(t, time.Minute, workers[1].Started-workers[0].Started)
 	assert.Zero(t, workers[2].Started)
 }
+
+// BenchmarkEndpointChange measures one change of a list with many workers, of which some were removed.
+func BenchmarkEndpointChange(b *testing.B) {
+	for _, workers := range []int{200, 3200} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			previous := slog.Default()
+			slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+			defer slog.SetDefault(previous)
+			c, err := New(Config{Pool: worker.Config{ConnLimit: worker.NewConnLimit(descriptors.NewShare(1))},
+				Settings: idempotentSettings()})
+			require.NoError(b, err)
+			var all []discovery.Endpoint
+			for i := range workers {
+				id := balancer.WorkerID(fmt.Sprintf("s-%04d", i))
+				all = append(all, discovery.Endpoint{Worker: balancer.Worker{ID: id, Weight: 1}, Addr: "127.0.0.1:1"})
+			}
+			c.updateEndpoints(discovery.Update{Scope: balancer.ScopeFull, Endpoints: all})
+			changed := all[workers/2]
+			for i := 0; b.Loop(); i++ {
+				changed.State = balancer.WorkerState(i % 2) // ready, draining
+				c.updateEndpoints(discovery.Update{Scope: balancer.ScopeDelta, Endpoints: []discovery.Endpoint{changed}})
+			}
+		})
+	}
+}
--- a/internal/dispatch/endpoints.go
+++ b/internal/dispatch/endpoints.go
@@ -49,7 +49,7 @@
 // updateEndpoint brings the endpoint of one worker up to date.
 func (c *Core) updateEndpoint(entry discovery.Endpoint) {
 	e := c.endpointAt(entry.ID, entry.Addr)
-	e.state = entry.State.Permitted()
+	c.setEndpointState(entry.ID, e, entry.State.Permitted())
 	if e.state == permit.WorkerReady {
 		e.pool.MarkReady(c.clock.at(entry.Started))
 	} else {
@@ -57,6 +57,16 @@
 	}
 }
 
+// setEndpointState notes the state of an endpoint, and whether it is among the removed ones.
+func (c *Core) setEndpointState(id balancer.WorkerID, e *endpoint, state permit.Worker) {
+	e.state = state
+	if state == permit.WorkerIsRemoved {
+		c.removed[id] = true
+	} else {
+		delete(c.removed, id)
+	}
+}
+
 // endpointAt returns the endpoint of a worker at an address, and makes it where there is none. A change of the list may
 // leave the address out: then the known one stays.
 func (c *Core) endpointAt(id balancer.WorkerID, addr string) *endpoint {
@@ -76,7 +86,7 @@
 func (c *Core) markAbsentRemoved(listed map[balancer.WorkerID]bool) {
 	for id, e := range c.endpoints {
 		if !listed[id] {
-			e.state = permit.WorkerIsRemoved
+			c.setEndpointState(id, e, permit.WorkerIsRemoved)
 			e.pool.MarkUnavailable(e.state)
 		}
 	}
@@ -85,10 +95,11 @@
 // deleteRemovedEndpoints forgets removed workers whose pools are idle. Their ids do not come back, so endpoints kept
 // would only pile up.
 func (c *Core) deleteRemovedEndpoints() {
-	for id, e := range c.endpoints {
-		if e.state == permit.WorkerIsRemoved && e.pool.Idle() {
+	for id := range c.removed {
+		if c.endpoints[id].pool.Idle() {
 			c.startTimes.Forget(id)
 			delete(c.endpoints, id)
+			delete(c.removed, id)
 		}
 	}
 }
