--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -118,7 +118,8 @@
 	b.updateReady(changed)
 }
 
-// updateWorker takes in one entry and returns its worker. After a fresh start the worker is warming up and holds no copies.
+// updateWorker takes in one entry and returns its worker. After a fresh start the worker is warming up and
+// holds no copies.
 func (b *Balancer) updateWorker(entry Worker) *worker {
 	w := b.worker(entry.ID)
 	if entry.Weight <= 0 {
