Never make room with a request that waits unread; new silent connections make room last

What is unread or not looked at keeps a connection whatever it would be closed for, and one that was accepted less than 250 ms ago is the last to make room. TestUnreadRequestKeepsItsConnection asked for the opposite where others need the place, and asks for more now. TestIdleConnectionsMakeRoomForNewOnes sets the new time to zero, as its silent client counts as such at once.

--- a/internal/frontend/resp/conn.go
+++ b/internal/frontend/resp/conn.go
@@ -148,8 +148,7 @@
 
 // mayCloseLocked reports whether the connection may be closed for a reason. The caller holds c.mu.
 func (c *clientConn) mayCloseLocked(reason closeReason) bool {
-	use := c.netConn.usage()
-	use.Incomplete = use.Incomplete && reason.sparesIncomplete()
+	use := c.netConn.usage(reason)
 	answers := c.answersDueLocked()
 	use.Open = answers.Open
 	use.Unwritten = answers.Unwritten
--- a/internal/frontend/resp/server.go
+++ b/internal/frontend/resp/server.go
@@ -8,6 +8,7 @@
 package resp
 
 import (
+	"cmp"
 	"net"
 	"slices"
 	"sync"
@@ -28,6 +29,9 @@
 	FirstRequest time.Duration // from the accept to the end of its first request
 	Request      time.Duration // from the first byte of a request to its last
 	Idle         time.Duration // since its last request or answer; clients usually close after 4 s themselves
+	// Silence is how long after the accept a connection without any request may have its first one under way. Until then it
+	// is the last to make room for others, and after that the first.
+	Silence time.Duration
 }
 
 // DefaultTimeouts are the timeouts used in service.
@@ -35,6 +39,7 @@
 	FirstRequest: 2500 * time.Millisecond,
 	Request:      2500 * time.Millisecond,
 	Idle:         5 * time.Second,
+	Silence:      250 * time.Millisecond,
 }
 
 const (
@@ -167,30 +172,46 @@
 func (s *Server) idleConns() []idleConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
 	var idle []idleConn
 	for conn := range s.conns {
 		if since, isIdle := conn.idleSinceLocked(); isIdle {
-			idle = append(idle, idleConn{conn: conn, silent: conn.client == nil, since: since})
+			idle = append(idle, s.Timeouts.newIdleConn(conn, conn.client == nil, since, now))
 		}
 	}
 	slices.SortFunc(idle, idleConn.compare)
 	return idle
 }
 
+// idleRank is how little harm it does to close a connection: lower ones go first.
+type idleRank int
+
+const (
+	rankSilent idleRank = iota // it has never sent a whole request
+	rankIdle                   // it has, and nothing is in flight
+	rankNew                    // it is silent, but only for Timeouts.Silence: its first request may be under way
+)
+
 // idleConn is a connection that may be closed to make room for another.
 type idleConn struct {
-	conn   *trackedConn
-	silent bool // it has never sent a whole request
-	since  time.Time
+	conn  *trackedConn
+	rank  idleRank
+	since time.Time
 }
 
-// compare is negative if closing c does less harm than closing other: silent connections go first, then those idle longest.
-func (c idleConn) compare(other idleConn) int {
-	if c.silent != other.silent {
-		if c.silent {
-			return -1
-		}
-		return 1
+// newIdleConn returns a connection that is idle, or silent, since a time.
+func (t *Timeouts) newIdleConn(conn *trackedConn, silent bool, since, now time.Time) idleConn {
+	rank := rankIdle
+	if silent {
+		rank = rankSilent
+	}
+	if silent && now.Sub(since) < t.Silence {
+		rank = rankNew
 	}
-	return c.since.Compare(other.since)
+	return idleConn{conn: conn, rank: rank, since: since}
+}
+
+// compare is negative if closing c does less harm than closing other.
+func (c idleConn) compare(other idleConn) int {
+	return cmp.Or(cmp.Compare(c.rank, other.rank), c.since.Compare(other.since))
 }
--- a/internal/frontend/resp/server_test.go
+++ b/internal/frontend/resp/server_test.go
@@ -86,7 +86,9 @@
 // With all connections taken, the next one is accepted in place of an idle one, silent ones first.
 func TestIdleConnectionsMakeRoomForNewOnes(t *testing.T) {
 	w := fakes.NewWorker(t)
-	_, connect := startServerWith(t, 3, resp.DefaultTimeouts, w)
+	timeouts := resp.DefaultTimeouts
+	timeouts.Silence = 0 // the silent one counts as such at once
+	_, connect := startServerWith(t, 3, timeouts, w)
 	busy, idle := connect(), connect()
 	busy.sendCall(1, "reserva", "book")
 	received := w.Next()
--- a/internal/frontend/resp/trackedconn.go
+++ b/internal/frontend/resp/trackedconn.go
@@ -77,21 +77,20 @@
 	return !t.closed
 }
 
-// usage returns what is in use of what the client has sent.
-func (t *trackedConn) usage() permit.Connection {
+// usage returns what is in use of what the client has sent. A request in part counts only where the reason spares it.
+func (t *trackedConn) usage(reason closeReason) permit.Connection {
 	return permit.Connection{
 		Unhandled:  int(t.unhandled.Load()),
-		Incomplete: t.requestBegan.Load() != 0,
+		Incomplete: t.requestBegan.Load() != 0 && reason.sparesIncomplete(),
 		Unread:     hasUnread(t.Conn),
 	}
 }
 
-// closeIfIdle closes the connection unless requests are in flight on it, and reports whether it did. A client that has never sent a whole request holds
-// it only if its reason spares incomplete requests.
+// closeIfIdle closes the connection unless something is in use on it, and reports whether it did.
 func (t *trackedConn) closeIfIdle(reason closeReason) (closed bool) {
 	t.server.mu.Lock()
 	client := t.client
-	closing := client == nil && !t.closed && (!reason.sparesIncomplete() || t.usage().Check() == permit.Allowed)
+	closing := client == nil && !t.closed && t.usage(reason).Check() == permit.Allowed
 	if closing {
 		t.closed = true // a first request that arrives at this moment is not accepted any more
 	}
--- a/internal/frontend/resp/unread_test.go
+++ b/internal/frontend/resp/unread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,10 +28,10 @@
 	return client, server
 }
 
-// A request that waits unread in the socket, since the machine is busy, is not thrown away with its connection when clients
-// are sent away; where others need the place, or it takes too long, it is.
+// A request that waits unread in the socket, since the machine is busy, is not thrown away with its connection, whatever that
+// would be closed for.
 func TestUnreadRequestKeepsItsConnection(t *testing.T) {
-	for reason, kept := range map[closeReason]bool{closedWhenDraining: true, closedForRoom: false, closedTimedOut: false} {
+	for _, reason := range []closeReason{closedWhenDraining, closedForRoom, closedForShortage, closedTimedOut} {
 		client, accepted := tcpPair(t)
 		s := &Server{DrainState: drain.New(drain.Schedule{}, drain.Schedule{}), descriptors: descriptors.NewShare(4)}
 		s.init()
@@ -39,15 +40,29 @@
 		_, err := client.Write([]byte(checkRequest))
 		require.NoError(t, err)
 		require.Eventually(t, func() bool { return hasUnread(accepted) }, 10*time.Second, time.Millisecond)
-		assert.Equal(t, !kept, conn.closeIfIdle(reason), reason)
-		if kept {
-			_, err = conn.Read(make([]byte, 4096))
-			require.NoError(t, err)
-			assert.False(t, conn.closeIfIdle(reason), "read whole, and not looked at yet")
-			conn.unhandled.Add(-1)
-			assert.True(t, conn.closeIfIdle(reason))
-		}
+		assert.False(t, conn.closeIfIdle(reason), reason)
+		_, err = conn.Read(make([]byte, 4096))
+		require.NoError(t, err)
+		assert.False(t, conn.closeIfIdle(reason), "read whole, and not looked at yet")
+		conn.unhandled.Add(-1)
+		assert.True(t, conn.closeIfIdle(reason))
 		assert.Zero(t, s.ActiveConns())
 		assert.Zero(t, s.descriptors.InUse(), "closed, and given back")
 	}
 }
+
+// Silent connections make room first, then those idle longest; but one that was accepted a moment ago may have its first
+// request under way, and is the last.
+func TestOrderInWhichConnectionsMakeRoom(t *testing.T) {
+	now, timeouts := time.Now(), DefaultTimeouts
+	ago := func(span time.Duration) time.Time { return now.Add(-span) }
+	youngSilent := timeouts.newIdleConn(nil, true, ago(timeouts.Silence/2), now)
+	youngerSilent := timeouts.newIdleConn(nil, true, now, now)
+	oldSilent := timeouts.newIdleConn(nil, true, ago(2*timeouts.Silence), now)
+	olderSilent := timeouts.newIdleConn(nil, true, ago(time.Minute), now)
+	idle := timeouts.newIdleConn(nil, false, ago(timeouts.Silence), now)
+	longIdle := timeouts.newIdleConn(nil, false, ago(time.Second), now)
+	conns := []idleConn{youngerSilent, idle, oldSilent, youngSilent, longIdle, olderSilent}
+	slices.SortFunc(conns, idleConn.compare)
+	assert.Equal(t, []idleConn{olderSilent, oldSilent, longIdle, idle, youngSilent, youngerSilent}, conns)
+}
