Let the invoke API's connections end after an answer when clients are sent away, not under a first request

Switching keep-alives off closes HTTP/2 connections that have no request yet, abruptly. Ruled out: the clock, as the same close is there without it.

--- a/internal/frontend/invoke/server.go
+++ b/internal/frontend/invoke/server.go
@@ -51,7 +51,7 @@
 	}
 	s.waits.Store(newWaitBound())
 	s.httpServer = &http.Server{
-		Handler:           s.routes(),
+		Handler:           s.closeWhileDraining(s.routes()),
 		TLSConfig:         newTLSConfig(identity),
 		ReadHeaderTimeout: readTimeout,
 		IdleTimeout:       idleTimeout,
