Log and count how old discovery's news is, and each worker's change of state

Polls are counted by outcome (a server that is behind, or names an event that has not come, is told apart from one with nothing new), the age of the news is a maximum, and silence and its end are one line each. No decision is changed.

--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -52,9 +52,10 @@
 type Watcher struct {
 	onUpdate func(Update)
 	client   *http.Client
-	revision int64 // of the last event that was passed on
-	hasList  bool  // an event with the whole list was passed on
-	failing  bool  // the last poll failed
+	revision int64     // of the last event that was passed on
+	hasList  bool      // an event with the whole list was passed on
+	failing  bool      // the last poll failed
+	news     freshness // how old the news is
 
 	mu          sync.Mutex
 	addr        string
@@ -70,7 +71,7 @@
 		MaxIdleConns:        1,
 	}
 	return &Watcher{addr: addr, onUpdate: onUpdate, client: &http.Client{Transport: transport},
-		addrChanged: make(chan struct{})}
+		addrChanged: make(chan struct{}), news: freshness{asOf: time.Now()}}
 }
 
 // SetAddress has the watcher poll the server at addr from now on. The poll under way is abandoned, since the old server
@@ -146,8 +147,8 @@
 // poll asks the server at addr for new events, once, and passes them on. It is abandoned when ctx ends or addrChanged is
 // closed.
 func (w *Watcher) poll(ctx context.Context, addr string, addrChanged <-chan struct{}) error {
-	started := time.Now()
-	ctx, cancel := context.WithDeadline(ctx, started.Add(pollTimeout))
+	sent := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, sent.Add(pollTimeout))
 	defer cancel() // which ends the goroutine too
 	go func() {
 		select {
@@ -158,14 +159,33 @@
 	}()
 	response, err := w.fetch(ctx, pollURL(addr, w.revision, pollWait))
 	if err != nil {
+		if !isClosed(addrChanged) {
+			w.news.note(pollFailed, sent, time.Now(), w.revision)
+		}
 		return err
 	}
-	if !w.apply(response, balancer.ScopeFull) && time.Since(started) < earlyAnswer {
+	hasNew := w.apply(response, balancer.ScopeFull)
+	w.news.note(w.outcome(response, hasNew), sent, time.Now(), w.revision)
+	if !hasNew && time.Since(sent) < earlyAnswer {
 		return errNothingNew
 	}
 	return nil
 }
 
+// outcome returns what an answer was worth once its events have been taken in.
+func (w *Watcher) outcome(response WatchResponse, hasNew bool) pollOutcome {
+	switch {
+	case response.Revision > w.revision:
+		return pollIncomplete
+	case response.Revision < w.revision:
+		return pollBehind
+	case hasNew:
+		return pollEvents
+	default:
+		return pollNothingNew
+	}
+}
+
 // fetch gets and decodes the server's answer.
 func (w *Watcher) fetch(ctx context.Context, url string) (WatchResponse, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
--- a/internal/dispatch/endpoints.go
+++ b/internal/dispatch/endpoints.go
@@ -6,10 +6,14 @@
 
 	"kitefall/internal/balancer"
 	"kitefall/internal/discovery"
+	"kitefall/internal/logthrottle"
 	"kitefall/internal/permit"
 	"kitefall/internal/worker"
 )
 
+// workerStateLog throttles the line of workers that begin to drain, leave or return: a list may name thousands.
+var workerStateLog = logthrottle.New()
+
 // endpoint is a worker's address and the connection pool for it.
 type endpoint struct {
 	addr  string
@@ -59,6 +63,10 @@
 
 // setEndpointState notes the state of an endpoint, and whether it is among the removed ones.
 func (c *Core) setEndpointState(id balancer.WorkerID, e *endpoint, state permit.Worker) {
+	if e.state != state {
+		workerStateLog.Log(slog.LevelInfo, "core: worker changed its state", "worker", string(id), "from", e.state.String(),
+			"to", state.String())
+	}
 	e.state = state
 	if state == permit.WorkerIsRemoved {
 		c.removed[id] = true
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -29,8 +29,12 @@
 	ClientConnsClosed = newCounter("client_conns_closed")
 	// ClockSteps counts steps of the wall clock, by direction.
 	ClockSteps = newCounter("clock_steps")
+	// Discovery counts how often discovery fell silent, and how often it was heard again.
+	Discovery = newCounter("discovery")
 	// LoadOrders counts load orders that have ended, by status.
 	LoadOrders = newCounter("load_orders")
+	// Polls counts polls of discovery that have ended, by outcome.
+	Polls = newCounter("polls")
 	// Refusals counts what was refused at the last moment before it would have begun, by reason.
 	Refusals = newCounter("refusals")
 	// Shortages counts what failed for want of a descriptor or port of this process, by who asked for it.
@@ -48,6 +52,8 @@
 	EventLag = newMaximum("event_lag")
 	// EventTime is how long the event loop was busy with one event.
 	EventTime = newMaximum("event_time")
+	// NewsAge is how old the last news of discovery was when a poll ended.
+	NewsAge = newMaximum("news_age")
 )
 
 // newCounter returns a counter, which is published under its name.
--- a/internal/permit/attempt.go
+++ b/internal/permit/attempt.go
@@ -12,6 +12,11 @@
 	WorkerIsRemoved
 )
 
+var workerNames = [...]string{WorkerReady: "ready", WorkerIsDraining: "draining", WorkerIsRemoved: "removed"}
+
+// String returns the name of the state in logs and metrics.
+func (w Worker) String() string { return workerNames[w] }
+
 // Start holds the facts on whether anything may be begun at a worker.
 type Start struct {
 	Worker     Worker
