--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -20,12 +20,14 @@
 	// giveUpAfter is how long after its time a request is still waited for.
 	giveUpAfter = time.Second
 	dialTimeout = time.Second
+	// quietInterval is how often a client that sends nothing looks whether its load has changed.
+	quietInterval = 20 * time.Millisecond
 )
 
 // Load says what clients send to one dispatcher.
 type Load struct {
 	Conns         int     // connections that are used; 0: connsPerClient
-	Rate          float64 // requests a second
+	Rate          float64 // requests a second; 0: none for now
 	Functions     int     // that are called, by a Zipf distribution
 	FirstFunction int
 	MinWait       time.Duration // how long clients wait for the answer
@@ -75,6 +77,12 @@
 		c.mu.Lock()
 		load := c.load
 		c.mu.Unlock()
+		if load.Rate == 0 {
+			if waitOr(stop, quietInterval) {
+				return
+			}
+			continue
+		}
 		pause := time.Duration(c.random.ExpFloat64() / load.Rate * float64(time.Second))
 		if waitOr(stop, pause) {
 			return
--- a/internal/soak/clientconn.go
+++ b/internal/soak/clientconn.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// wordOK is the word of an answer that was served (source: client protocol).
+const wordOK = "ok"
+
 // clientConn is a client's connection to a dispatcher.
 type clientConn struct {
 	client  *client // whose mutex guards what follows
@@ -138,5 +141,5 @@
 	delete(c.open, tag)
 	r.Answers = append(r.Answers, Now())
 	r.Words = append(r.Words, parts[1])
-	r.WrongBody = parts[1] == "ok" && parts[len(parts)-1] != fmt.Sprintf("%016x", r.ID)
+	r.WrongBody = parts[1] == wordOK && parts[len(parts)-1] != fmt.Sprintf("%016x", r.ID)
 }
--- a/internal/soak/endpointlist.go
+++ b/internal/soak/endpointlist.go
@@ -58,16 +58,16 @@
 type endpointList struct {
 	fleet *Fleet
 
-	mu        sync.Mutex
-	first     []change // the whole list of the first revision
-	changes   []change
-	changed   chan struct{} // closed at each change, and replaced
-	hangUntil time.Duration // polls are not answered before
-	notices   []Notification
+	mu      sync.Mutex
+	first   []change // the whole list of the first revision
+	changes []change
+	changed chan struct{}      // closed at each change and outage, and replaced
+	outages map[int]OutageKind // under way, by dispatcher
+	notices []Notification
 }
 
 func newEndpointList(f *Fleet) *endpointList {
-	return &endpointList{fleet: f, changed: make(chan struct{})}
+	return &endpointList{fleet: f, changed: make(chan struct{}), outages: map[int]OutageKind{}}
 }
 
 // add adds a change for each worker of a process.
@@ -77,15 +77,7 @@
 	for _, worker := range process.members {
 		b.changes = append(b.changes, change{at: Now(), worker: worker, state: state, bootMS: bootMS})
 	}
-	close(b.changed)
-	b.changed = make(chan struct{})
-}
-
-// hang has polls go unanswered for a time.
-func (b *endpointList) hang(length time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.hangUntil = Now() + length
+	b.wakeLocked()
 }
 
 // revisionLocked is the last revision.
@@ -139,13 +131,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, c := range b.latestLocked() {
-		b.noteNotifiedLocked(dispatcher, run, c)
+		b.noteNotifiedLocked(dispatcher, run, c, Now())
 	}
 }
 
-func (b *endpointList) noteNotifiedLocked(dispatcher, run int, c change) {
+func (b *endpointList) noteNotifiedLocked(dispatcher, run int, c change, at time.Duration) {
 	b.notices = append(b.notices, Notification{Dispatcher: dispatcher, Run: run, Worker: c.worker.uid, State: c.state,
-		BootMS: c.bootMS, At: Now()})
+		BootMS: c.bootMS, At: at})
 }
 
 func (c change) target(dispatcher int) listTarget {
@@ -173,32 +165,31 @@
 	return func() { server.Close() }, nil
 }
 
-// poll answers once later events exist, or when the time that the dispatcher gives is over.
+// poll answers once later events exist, or when the time that the dispatcher gives is over. During an outage it answers as
+// that has it.
 func (b *endpointList) poll(w http.ResponseWriter, r *http.Request, dispatcher int) {
 	watched, _ := strconv.Atoi(r.URL.Query().Get("watch"))
 	lingerMS, _ := strconv.Atoi(r.URL.Query().Get("linger"))
 	over := time.After(time.Duration(lingerMS) * time.Millisecond)
-	for {
+	for isOver := false; ; {
 		b.mu.Lock()
-		hang := b.hangUntil - Now()
 		changed := b.changed
 		pending := b.revisionLocked() > watched
+		outage := b.outages[dispatcher]
 		b.mu.Unlock()
 		switch {
-		case hang > 0:
-			if waitOr(r.Context().Done(), hang) {
-				return
-			}
-			continue
-		case pending:
+		case outage == "" && (pending || isOver):
 			b.answer(w, dispatcher, watched)
 			return
+		case outage != "" && outage != OutageSilent && (isOver || outage != OutageEmpty):
+			b.answerBroken(w, outage, dispatcher, watched)
+			return
 		}
 		select {
 		case <-changed:
 		case <-over:
-			b.answer(w, dispatcher, watched)
-			return
+			isOver = true
+			over = nil
 		case <-r.Context().Done():
 			return
 		}
@@ -215,7 +206,7 @@
 	}
 }
 
-// answer writes the events after a revision. They count as told from now on.
+// answer writes the events after a revision. They count as told from now on, or since notifiedAfter where they come later.
 func (b *endpointList) answer(w http.ResponseWriter, dispatcher, watched int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -224,7 +215,8 @@
 	for revision := watched + 1; revision <= b.revisionLocked(); revision++ {
 		answer.Notifications = append(answer.Notifications, b.eventLocked(dispatcher, revision))
 		if revision > 1 {
-			b.noteNotifiedLocked(dispatcher, run, b.changes[revision-2])
+			c := b.changes[revision-2]
+			b.noteNotifiedLocked(dispatcher, run, c, min(Now(), c.at+notifiedAfter))
 		}
 	}
 	json.NewEncoder(w).Encode(answer)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -96,17 +96,35 @@
 	return nil
 }
 
+// DrainWorker has a worker drain: the list tells, and one grace later it turns away what is new.
+func (f *Fleet) DrainWorker(number int) {
+	f.endpoints.add(f.workers[number], stateLeaving, 0)
+	f.workers[number].signal(drainSignal)
+}
+
+// RemoveWorker ends a worker's process for good.
+func (f *Fleet) RemoveWorker(number int) {
+	f.workers[number].kill()
+	f.endpoints.add(f.workers[number], stateLeft, 0)
+}
+
+// ReturnWorker starts a worker that was removed, cold.
+func (f *Fleet) ReturnWorker(number int) error {
+	if err := f.workers[number].start(); err != nil {
+		return err
+	}
+	f.endpoints.add(f.workers[number], stateActive, time.Now().UnixMilli())
+	return nil
+}
+
 // ReplaceWorker drains a worker, starts a spare in its place, and ends the drained one after a time.
 func (f *Fleet) ReplaceWorker(number, spare int, drainFor time.Duration) error {
-	old, next := f.workers[number], f.workers[spare]
-	f.endpoints.add(old, stateLeaving, 0)
-	if err := next.start(); err != nil {
+	f.DrainWorker(number)
+	if err := f.ReturnWorker(spare); err != nil {
 		return err
 	}
-	f.endpoints.add(next, stateActive, time.Now().UnixMilli())
 	time.Sleep(drainFor)
-	old.kill()
-	f.endpoints.add(old, stateLeft, 0)
+	f.RemoveWorker(number)
 	return nil
 }
 
@@ -142,6 +160,3 @@
 
 // ResetWorker resets all connections to a worker.
 func (f *Fleet) ResetWorker(number int) { f.workers[number].signal(syscall.SIGUSR2) }
-
-// HangDiscovery has the endpoint list answer no polls for a time.
-func (f *Fleet) HangDiscovery(length time.Duration) { f.endpoints.hang(length) }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -34,9 +34,10 @@
 	faults      map[string]int
 	freezes     []Freeze
 	evacuations []Evacuation
+	outages     []Outage
+	discovery   map[int][]func() // stop the servers of the endpoint list, by dispatcher
 
 	stopClients chan struct{}
-	closers     []func()
 	background  sync.WaitGroup
 }
 
@@ -56,6 +57,7 @@
 		config:      config,
 		net:         firstNet + (os.Getpid()+int(fleetCount.Add(1))*37)%netCount,
 		faults:      map[string]int{},
+		discovery:   map[int][]func(){},
 		stopClients: make(chan struct{}),
 	}
 	f.endpoints = newEndpointList(f)
@@ -65,7 +67,7 @@
 	for i := range config.Dispatchers {
 		f.dispatchers = append(f.dispatchers, &dispatcherHandle{number: i})
 	}
-	if err := errors.Join(f.startWorkers(), f.serveDiscovery(), f.startDispatchers()); err != nil {
+	if err := errors.Join(f.startWorkers(), f.serveDiscovery(f.allDispatchers()), f.startDispatchers()); err != nil {
 		f.Close()
 		return nil, err
 	}
@@ -85,20 +87,34 @@
 	return nil
 }
 
-// serveDiscovery has the endpoint list answer at all addresses.
-func (f *Fleet) serveDiscovery() error {
-	for dispatcher := range f.dispatchers {
+// serveDiscovery has the endpoint list answer the dispatchers at all their addresses.
+func (f *Fleet) serveDiscovery(dispatchers []int) error {
+	for _, dispatcher := range dispatchers {
 		for address := range discoveryAddresses {
 			stop, err := f.endpoints.serve(dispatcher, f.discoveryAddr(dispatcher, address))
 			if err != nil {
 				return err
 			}
-			f.closers = append(f.closers, stop)
+			f.mu.Lock()
+			f.discovery[dispatcher] = append(f.discovery[dispatcher], stop)
+			f.mu.Unlock()
 		}
 	}
 	return nil
 }
 
+// stopDiscovery has nothing listen at the dispatchers' addresses of the endpoint list.
+func (f *Fleet) stopDiscovery(dispatchers []int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, dispatcher := range dispatchers {
+		for _, stop := range f.discovery[dispatcher] {
+			stop()
+		}
+		f.discovery[dispatcher] = nil
+	}
+}
+
 // startDispatchers starts the dispatchers and waits until all are ready.
 func (f *Fleet) startDispatchers() error {
 	for i := range f.dispatchers {
@@ -182,10 +198,7 @@
 	for _, w := range f.workers {
 		w.kill()
 	}
-	for _, stop := range f.closers {
-		stop()
-	}
-	f.closers = nil
+	f.stopDiscovery(f.allDispatchers())
 }
 
 func isClosed(channel <-chan struct{}) bool {
@@ -200,7 +213,7 @@
 // history gathers what was recorded.
 func (f *Fleet) history() (*History, error) {
 	h := &History{Rules: f.config.Rules, KillDelay: f.config.killDelay(), Limits: f.config.Limits, Faults: f.faults,
-		Freezes: f.freezes, Evacuations: f.evacuations}
+		Freezes: f.freezes, Evacuations: f.evacuations, Outages: f.outages}
 	for _, w := range f.workers {
 		events, err := readWorkerEvents(w.recordPath())
 		if err != nil && !os.IsNotExist(err) {
--- /dev/null
+++ b/internal/soak/incident3_test.go
@@ -0,0 +1,136 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// The course of an outage of discovery in which workers drain.
+const (
+	outageAfter  = 2 * time.Second        // since the start of the load
+	drainAfter   = 500 * time.Millisecond // since the start of the outage
+	outageLength = 12 * time.Second
+	outageGrace  = 500 * time.Millisecond
+	returnWithin = 2 * time.Second // after the list's return a worker that is back is used again
+	// quietFrom and quietUntil bound the time without a request, since the start of the outage, in a run with quiet clients: no
+	// rejection can tell of a drain before it counts as told.
+	quietFrom  = 200 * time.Millisecond
+	quietUntil = drainAfter + notifiedAfter + outageGrace + 300*time.Millisecond
+)
+
+// outageRun is a run with an outage of discovery.
+type outageRun struct {
+	dispatchers int
+	workers     int
+	draining    int
+	rate        float64 // requests a second of each dispatcher
+	kind        OutageKind
+	quiet       bool
+}
+
+// play plays the run and returns what was recorded, and when the outage began and ended.
+func (r outageRun) play(t *testing.T) (h *History, begin, end time.Duration) {
+	t.Helper()
+	rules := DefaultRules()
+	rules.DrainGrace = outageGrace
+	rules.LoadWindow = 10 * time.Second
+	worker := DefaultWorker()
+	worker.Work = 20 * time.Millisecond
+	worker.KeepAlive = 10 * time.Second
+	f, err := Start(Config{Program: dispatcherProgram(t), Folder: t.TempDir(), Dispatchers: r.dispatchers, Workers: r.workers,
+		Seed: 1, Rules: rules, Worker: worker, Deadline: time.Second})
+	require.NoError(t, err)
+	t.Cleanup(f.Close)
+	load := Load{Rate: r.rate, Functions: 12, MinWait: 500 * time.Millisecond, MaxWait: time.Second}
+	f.StartClients(load)
+	time.Sleep(outageAfter)
+	begin = Now()
+	ended := make(chan error, 1)
+	go func() { ended <- f.BreakDiscovery(r.kind, f.allDispatchers(), outageLength) }()
+	if r.quiet {
+		time.Sleep(quietFrom)
+		silent := load
+		silent.Rate = 0
+		f.SetLoad(silent)
+	}
+	time.Sleep(begin + drainAfter - Now())
+	for i := range r.draining {
+		f.DrainWorker(i)
+	}
+	if r.quiet {
+		time.Sleep(begin + quietUntil - Now())
+		f.SetLoad(load)
+	}
+	time.Sleep(begin + outageLength - time.Second - Now())
+	for i := range r.draining {
+		f.RemoveWorker(i)
+		require.NoError(t, f.ReturnWorker(i))
+	}
+	require.NoError(t, <-ended)
+	end = Now()
+	time.Sleep(returnWithin + time.Second)
+	h, err = f.Finish()
+	require.NoError(t, err)
+	t.Log(Counts(h))
+	logMetrics(t, f)
+	return h, begin, end
+}
+
+// servedShare returns the share of the requests of a time that were served.
+func (h *History) servedShare(begin, end time.Duration) float64 {
+	served, sent := 0, 0
+	for _, r := range h.Requests {
+		if r.Sent < begin || r.Sent >= end {
+			continue
+		}
+		sent++
+		if len(r.Answers) > 0 && r.Words[0] == wordOK {
+			served++
+		}
+	}
+	return float64(served) / float64(max(1, sent))
+}
+
+// Discovery tells nothing for longer than its news counts as told, and workers drain meanwhile: nothing new goes there once
+// the drain counts as told, whatever way discovery fails, and everybody else is still served (incident 3).
+func TestNothingNewToDrainingWorkersWithoutDiscovery(t *testing.T) {
+	for _, kind := range outageKinds {
+		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
+			run := outageRun{dispatchers: 1, workers: 8, draining: 2, rate: 160, kind: kind}
+			h, begin, end := run.play(t)
+			assert.Empty(t, Check(h))
+			assert.GreaterOrEqual(t, h.servedShare(begin, end), 0.97)
+			assertUsedAgain(t, h, run.draining, end)
+		})
+	}
+}
+
+// The same with clients that are quiet from before the drain until it counts as told, so that no rejection tells of it.
+func TestNothingNewToDrainingWorkersAfterAQuietTime(t *testing.T) {
+	for _, kind := range []OutageKind{OutageRefused, OutageSilent} {
+		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
+			h, _, _ := outageRun{dispatchers: 1, workers: 8, draining: 2, rate: 160, kind: kind, quiet: true}.play(t)
+			assert.Empty(t, Check(h))
+		})
+	}
+}
+
+// assertUsedAgain asserts that each of the first workers, which have returned, is called soon after the list's return.
+func assertUsedAgain(t *testing.T, h *History, workers int, listReturned time.Duration) {
+	t.Helper()
+	used := map[string]bool{}
+	for _, e := range h.Workers {
+		if e.Kind == CallArrived && e.At > listReturned && e.At < listReturned+returnWithin {
+			used[e.Worker] = true
+		}
+	}
+	for number := range workers {
+		uid := newWorkerHandle(&Fleet{config: Config{Members: 1}}, number).members[0].uid
+		assert.True(t, used[uid], "%s is not used %s after the list's return", uid, returnWithin)
+	}
+}
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -104,7 +104,7 @@
 func checkLoads(h *History) []Violation {
 	orders := map[process][]time.Duration{}
 	for _, e := range h.Workers {
-		if e.Kind == LoadArrived && h.arrivalKnown(e) {
+		if e.Kind == LoadArrived && e.Copies > 0 && h.arrivalKnown(e) {
 			p := process{e.Dispatcher, h.runAt(e.Dispatcher, e.At)}
 			orders[p] = append(orders[p], e.At)
 		}
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -35,12 +35,12 @@
 		"nothing": {func(*History) {}, nil},
 		"three load orders": {func(h *History) {
 			for range 3 {
-				h.Workers = append(h.Workers, WorkerEvent{At: 10 * second, Kind: LoadArrived})
+				h.Workers = append(h.Workers, WorkerEvent{At: 10 * second, Kind: LoadArrived, Copies: 1})
 			}
 		}, []Rule{RuleLoads}},
 		"earned load orders": {func(h *History) {
 			for range 3 {
-				h.Workers = append(h.Workers, WorkerEvent{At: 10 * second, Kind: LoadArrived})
+				h.Workers = append(h.Workers, WorkerEvent{At: 10 * second, Kind: LoadArrived, Copies: 1})
 				h.Requests = append(h.Requests, &Request{Sent: 9 * second, Answers: []time.Duration{9 * second}, Wait: second})
 			}
 		}, nil},
--- a/internal/soak/oracle_workers.go
+++ b/internal/soak/oracle_workers.go
@@ -32,8 +32,8 @@
 	}
 	var violations []Violation
 	for _, e := range h.Workers {
-		isOrder := e.Kind == CallArrived || e.Kind == LoadArrived
-		if !isOrder || !h.arrivalKnown(e) {
+		isNew := e.Kind == CallArrived || e.Kind == LoadArrived && e.Copies > 0
+		if !isNew || !h.arrivalKnown(e) {
 			continue
 		}
 		p := process{e.Dispatcher, h.runAt(e.Dispatcher, e.At)}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -24,7 +24,7 @@
 	FaultFreezeWorker  FaultKind = "freeze-worker"
 	FaultFlush         FaultKind = "flush"
 	FaultReset         FaultKind = "reset"
-	FaultHangDiscovery FaultKind = "hang-discovery"
+	FaultOutage        FaultKind = "outage" // discovery tells some dispatchers nothing
 	FaultNewFunctions  FaultKind = "new-functions"
 	FaultBurst         FaultKind = "burst"
 	FaultEvacuate      FaultKind = "evacuate" // operators send the clients away, and have them taken again
@@ -39,6 +39,7 @@
 	Target int             // the dispatcher or worker
 	Length time.Duration   // how long it lasts
 	Series []Step          // of a FaultSeries
+	Outage OutageKind      // of a FaultOutage
 	Steps  []wallstep.Step // of the wall clock of a restarted dispatcher
 }
 
@@ -113,7 +114,7 @@
 		plan.Steps = append(plan.Steps, randomSteps(random, length))
 	}
 	kinds := []FaultKind{FaultReload, FaultReload, FaultTerminate, FaultKill, FaultCrashWorker, FaultReplaceWorker,
-		FaultHangWorker, FaultFreezeWorker, FaultFlush, FaultReset, FaultReset, FaultHangDiscovery, FaultNewFunctions, FaultBurst, FaultCrashWorker, FaultBurst,
+		FaultHangWorker, FaultFreezeWorker, FaultFlush, FaultReset, FaultReset, FaultOutage, FaultNewFunctions, FaultBurst, FaultCrashWorker, FaultBurst,
 		FaultEvacuate, FaultEvacuate, FaultSeries, FaultSeries, FaultCrowd}
 	for range int(length.Seconds() * (1.5 + 2*random.Float64())) {
 		plan.Faults = append(plan.Faults, randomFault(random, kinds, plan))
@@ -155,6 +156,8 @@
 		Length: time.Duration((0.2 + 2.8*random.Float64()) * float64(time.Second)),
 	}
 	switch fault.Kind {
+	case FaultOutage:
+		fault.Outage = outageKinds[random.IntN(len(outageKinds))]
 	case FaultReload, FaultTerminate, FaultKill, FaultEvacuate, FaultSeries, FaultCrowd:
 		fault.Target = random.IntN(plan.Dispatchers)
 		fault.Steps = randomSteps(random, plan.Length)
--- a/internal/soak/player.go
+++ b/internal/soak/player.go
@@ -105,8 +105,8 @@
 		}
 	case FaultFlush:
 		f.FlushWorkers()
-	case FaultHangDiscovery:
-		f.HangDiscovery(fault.Length)
+	case FaultOutage:
+		p.noteError(f.BreakDiscovery(fault.Outage, f.allDispatchers(), fault.Length))
 	case FaultCrowd:
 		f.CrowdDispatcher(fault.Target, fault.Length)
 	case FaultNewFunctions:
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -31,7 +31,8 @@
 	Call       uint64          `json:"call,omitempty"`
 	Class      string          `json:"class,omitempty"`
 	Function   string          `json:"function,omitempty"`
-	Max        time.Duration   `json:"max,omitempty"` // the deadline passed on with a call
+	Max        time.Duration   `json:"max,omitempty"`    // the deadline passed on with a call
+	Copies     int             `json:"copies,omitempty"` // asked for by a load order; 0: it only asks
 }
 
 // readWorkerEvents reads a worker's record. The last line may be cut off: the worker was killed.
@@ -122,6 +123,7 @@
 	Notifications []Notification
 	Freezes       []Freeze
 	Evacuations   []Evacuation
+	Outages       []Outage
 	Limits        Limits
 	KillDelay     time.Duration  // the earliest time from SIGTERM to SIGKILL
 	Faults        map[string]int // faults injected, by kind
--- a/internal/soak/workerconn.go
+++ b/internal/soak/workerconn.go
@@ -56,20 +56,31 @@
 	case codePing:
 		go c.answer(codePong, f.id, "", "")
 	case codeLoad:
-		c.worker.note(WorkerEvent{Kind: LoadArrived, Dispatcher: c.dispatcher, Function: f.fields["thing"]})
+		copies, _ := strconv.Atoi(f.fields["n"])
+		c.worker.note(WorkerEvent{Kind: LoadArrived, Dispatcher: c.dispatcher, Function: f.fields["thing"], Copies: copies})
 		go c.load(f)
 	case codeUnload:
 		c.worker.unload(fmt.Sprintf("%016x", f.id))
 	}
 }
 
-// load carries out a load order.
+// load carries out a load order. A worker that drains answers as those of the platform's bench do: with no where it would have
+// to load, and as always where a copy stands or the order only asks.
 func (c *workerConn) load(f workerFrame) {
 	w := c.worker
 	w.awaitResume()
 	w.mu.Lock()
 	loading := w.functions[f.fields["thing"]]
 	isNew := loading == nil
+	if isNew && (f.fields["n"] == "0" || w.drainFrom > 0 && Now() >= w.drainFrom) {
+		w.mu.Unlock()
+		code := byte(fakes.CodeFull)
+		if f.fields["n"] == "0" {
+			code = fakes.CodeOK
+		}
+		c.answer(code, f.id, "n=0", "")
+		return
+	}
 	if isNew {
 		loading = &loadedFunction{ready: make(chan struct{}), lastUsed: Now()}
 		w.functions[f.fields["thing"]] = loading
@@ -87,6 +98,10 @@
 func (c *workerConn) runCall(f workerFrame) {
 	w := c.worker
 	w.awaitResume()
+	if w.drains() {
+		c.answer(fakes.CodeFull, f.id, "", "")
+		return
+	}
 	loaded := w.use(f.fields["thing"])
 	if loaded == nil {
 		c.answer(fakes.CodeMiss, f.id, "", "")
--- a/internal/soak/workerhandle.go
+++ b/internal/soak/workerhandle.go
@@ -71,6 +71,7 @@
 	config.Members = w.memberConfigs()
 	config.Seed = w.fleet.config.Seed*1000 + uint64(w.number)
 	config.Record = w.recordPath()
+	config.DrainGrace = w.fleet.config.Rules.DrainGrace
 	text, err := json.Marshal(config)
 	if err != nil {
 		return err
--- a/internal/soak/workerproc.go
+++ b/internal/soak/workerproc.go
@@ -12,6 +12,9 @@
 	"time"
 )
 
+// drainSignal has a worker's process drain.
+const drainSignal = syscall.SIGINT
+
 // workerEnv names the file that holds the configuration of a worker's process.
 const workerEnv = "KITEFALL_SOAK_WORKER"
 
@@ -26,6 +29,8 @@
 	LoadTime  time.Duration
 	KeepAlive time.Duration // an idle function is unloaded after this
 	ErrorRate float64       // part of the calls that fail
+	// DrainGrace is how long a worker that begins to drain still takes calls.
+	DrainGrace time.Duration
 }
 
 // MemberConfig is a worker and its addresses.
@@ -36,7 +41,7 @@
 
 // WorkerMain runs workers if the process was started as one, and does not return then. Otherwise it does nothing.
 // SIGUSR1 unloads all functions, SIGUSR2 resets all connections, and SIGHUP has it hang until the next SIGHUP: it goes on
-// reading what arrives, but runs and answers nothing.
+// reading what arrives, but runs and answers nothing. With drainSignal it begins to drain.
 func WorkerMain() {
 	path, ok := os.LookupEnv(workerEnv)
 	if !ok {
@@ -81,6 +86,7 @@
 	conns     map[*net.TCPConn]bool
 	waiting   int           // calls that wait for a core
 	resumed   chan struct{} // closed unless it hangs
+	drainFrom time.Duration // calls are turned away from then on; 0: it does not drain
 }
 
 // runWorkers runs the workers of a configuration file until SIGTERM.
@@ -154,7 +160,7 @@
 // handleSignals carries out signals at all workers and returns on SIGTERM.
 func handleSignals(workers []*workerProcess) {
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGHUP, syscall.SIGTERM)
+	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGHUP, syscall.SIGTERM, drainSignal)
 	for received := range signals {
 		if received == syscall.SIGTERM {
 			return
@@ -170,6 +176,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch received {
+	case drainSignal:
+		w.drainFrom = Now() + w.config.DrainGrace
 	case syscall.SIGUSR1:
 		w.functions = map[string]*loadedFunction{}
 	case syscall.SIGUSR2:
@@ -186,6 +194,13 @@
 	}
 }
 
+// drains reports whether the worker turns away what is new.
+func (w *workerProcess) drains() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.drainFrom > 0 && Now() >= w.drainFrom
+}
+
 // awaitResume waits while the worker hangs.
 func (w *workerProcess) awaitResume() {
 	w.mu.Lock()
