--- a/cmd/dispatcher/server.go
+++ b/cmd/dispatcher/server.go
@@ -139,7 +139,7 @@
 
 // watchEndpoints keeps the core's list of endpoints up to date until ctx ends, starting with the configured list.
 func (s *server) watchEndpoints(ctx context.Context) {
-	s.watcher = discovery.NewWatcher(s.config.DiscoveryAddr, s.descriptors.Discovery, s.core.UpdateEndpoints)
+	s.watcher = discovery.NewWatcher(s.config.DiscoveryAddr, s.descriptors.Discovery, s.core)
 	go func() {
 		s.watcher.Seed(s.config.InitialEndpoints)
 		s.watcher.Run(ctx)
--- a/internal/balancer/actions.go
+++ b/internal/balancer/actions.go
@@ -55,16 +55,27 @@
 // Fetch asks for the whole endpoint list once.
 type Fetch struct{}
 
+// LeasesChanged tells that leases of workers have ended or are live again. There is nothing to carry out.
+type LeasesChanged struct {
+	Workers   []WorkerID // sorted
+	Ended     int        // since nothing new is known of the worker
+	Contested int        // likewise, since it rejects and discovery does not say why
+	Renewed   int
+	Live      int           // of all workers
+	NewsAge   time.Duration // since the last poll was sent that brought news
+}
+
 // Log tells the operators something.
 type Log struct{ Text string }
 
-func (Send) action()     {}
-func (Cancel) action()   {}
-func (Reject) action()   {}
-func (Fail) action()     {}
-func (Load) action()     {}
-func (Unload) action()   {}
-func (SetTimer) action() {}
-func (Watch) action()    {}
-func (Fetch) action()    {}
-func (Log) action()      {}
+func (Send) action()          {}
+func (Cancel) action()        {}
+func (Reject) action()        {}
+func (Fail) action()          {}
+func (Load) action()          {}
+func (Unload) action()        {}
+func (SetTimer) action()      {}
+func (Watch) action()         {}
+func (Fetch) action()         {}
+func (LeasesChanged) action() {}
+func (Log) action()           {}
--- a/internal/balancer/attempts.go
+++ b/internal/balancer/attempts.go
@@ -19,7 +19,7 @@
 // mayAttempt reports whether a request may be sent to a worker: what package permit rules for all, and what
 // only the balancer knows, the scope of keys and the slow start.
 func (b *Balancer) mayAttempt(r *request, w *worker) bool {
-	start := permit.Start{Worker: w.State.Permitted(), ClientGone: r.closed}
+	start := permit.Start{Worker: w.State.Permitted(), ClientGone: r.closed, LeaseLeft: b.leaseLeft(w)}
 	if start.Check() != permit.Allowed || b.tooLate(r) || b.repeat(r).Check() != permit.Allowed {
 		return false
 	}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"time"
+
+	"kitefall/internal/permit"
 )
 
 // Balancer decides for one dispatcher.
@@ -21,6 +23,7 @@
 	zones     map[string]*zone
 	ready     []*worker // sorted by ID
 	changes   listChanges
+	leases    leases
 	ranked    []rankedWorker // for makeOrder
 	unknown   placement      // for look
 	meanLoad  float64        // of the ready workers
@@ -41,6 +44,7 @@
 func New(s Settings, seed uint64) (*Balancer, error) {
 	s.MaxAttempts = max(1, s.MaxAttempts)
 	s.Dispatchers = max(1, s.Dispatchers)
+	s.leaseTerms = permit.NewLeaseTerms(s.DrainGrace)
 	if len(s.Classes) == 0 {
 		return nil, errors.New("balancer: the settings name no class")
 	}
@@ -88,6 +92,8 @@
 	switch e := e.(type) {
 	case EndpointsEvent:
 		b.onEndpoints(e)
+	case NewsEvent:
+		b.onNews(e)
 	case RequestEvent:
 		b.onRequest(e)
 	case OutcomeEvent:
--- a/internal/balancer/doc.go
+++ b/internal/balancer/doc.go
@@ -17,6 +17,7 @@
 //   - dedup.go: where and how long a repeat is dropped by the workers
 //   - outcome.go: what the end of an attempt teaches
 //   - starttimes.go: when workers started, by what the endpoint list tells
+//   - leases.go: when what is known of a worker is too old to be relied on
 //   - outlier.go: ejection of workers that fail, lag, reject or keep silent
 //   - zone.go: zones that cannot be reached
 //
--- a/internal/balancer/events.go
+++ b/internal/balancer/events.go
@@ -57,8 +57,12 @@
 type EndpointsEvent struct {
 	Scope   UpdateScope
 	Workers []Worker
+	AsOf    time.Duration // when it was so at the latest; with leases only
 }
 
+// NewsEvent means that everything was told that discovery knew at a time.
+type NewsEvent struct{ AsOf time.Duration }
+
 // RequestEvent hands over a request. It gets exactly one final answer.
 type RequestEvent struct {
 	ID           RequestID
@@ -110,7 +114,8 @@
 	Elapsed    time.Duration
 	Answered   bool // the client has its final answer
 	Warmth     Warmth
-	QueueDepth int // requests for the same function at the worker when this one came, where reported
+	QueueDepth int           // requests for the same function at the worker when this one came, where reported
+	WrittenAt  time.Duration // when its first byte was written, with leases only; 0: it was not
 }
 
 // StreamStartedEvent means that a stream has begun; the client receives this attempt.
@@ -137,6 +142,7 @@
 type TimerEvent struct{ TimerID int64 }
 
 func (EndpointsEvent) event()     {}
+func (NewsEvent) event()          {}
 func (RequestEvent) event()       {}
 func (OutcomeEvent) event()       {}
 func (StreamStartedEvent) event() {}
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -27,7 +27,7 @@
 // updateReady brings the list of ready workers, sorted by ID, up to date with workers that may have changed.
 func (b *Balancer) updateReady(workers []*worker) {
 	for _, w := range workers {
-		ready := w.State == Ready
+		ready := b.available(w)
 		if ready == w.listed && (!ready || w.fullWeight == w.listedWeight) {
 			continue
 		}
@@ -113,7 +113,11 @@
 		slices.SortFunc(changed, compareIDs)
 	}
 	for _, entry := range e.Workers {
-		changed = append(changed, b.updateWorker(entry))
+		w := b.updateWorker(entry)
+		if w.State == Ready {
+			w.lease.Listed(e.AsOf)
+		}
+		changed = append(changed, w)
 	}
 	b.updateReady(changed)
 }
--- a/internal/balancer/fleet_test.go
+++ b/internal/balancer/fleet_test.go
@@ -120,7 +120,7 @@
 		f.state[w.ID] = w.State
 		f.workers[w.ID] = w
 	}
-	f.event(EndpointsEvent{Scope: scope, Workers: list})
+	f.event(EndpointsEvent{Scope: scope, Workers: list, AsOf: f.now})
 }
 
 // request sends a new request with some time left.
@@ -159,7 +159,7 @@
 		r.answered = true
 	}
 	f.event(OutcomeEvent{ID: id, Attempt: n, Worker: s.worker, Status: status, Elapsed: f.now - s.sentAt,
-		Answered: r.answered})
+		Answered: r.answered, WrittenAt: s.sentAt})
 }
 
 // missEverywhere ends every attempt of a request with a miss, also those that follow: nothing is loaded anywhere.
--- /dev/null
+++ b/internal/balancer/leases.go
@@ -0,0 +1,112 @@
+package balancer
+
+import (
+	"slices"
+	"time"
+)
+
+// LeaseChoiceMargin is how much of a worker's lease must be left when it is chosen: it is checked again when
+// the choice is carried out.
+const LeaseChoiceMargin = 50 * time.Millisecond
+
+// leases is when the leases of the ready workers end, where the settings have them end. A worker without a
+// lease is out of all decisions, like one that drains: of the hot set, of placement and of load orders.
+type leases struct {
+	newsAsOf time.Duration // when the last poll was sent that brought news
+	checkAt  time.Duration // no lease of a listed worker ends before
+	lapsed   int           // workers that the list calls ready, without a lease
+}
+
+// leaseLeft is how long a worker may still be chosen; negative: it may not.
+func (b *Balancer) leaseLeft(w *worker) time.Duration {
+	if !b.settings.EndpointLeases {
+		return 0
+	}
+	return w.lease.End(b.settings.leaseTerms, b.leases.newsAsOf) - LeaseChoiceMargin - b.now
+}
+
+// available reports whether a worker takes part in decisions: the list calls it ready, and that is not too
+// old to be relied on.
+func (b *Balancer) available(w *worker) bool { return w.State == Ready && b.leaseLeft(w) >= 0 }
+
+// onNews notes that everything was told that discovery knew at a time, which renews leases.
+func (b *Balancer) onNews(e NewsEvent) {
+	b.leases.newsAsOf = max(b.leases.newsAsOf, e.AsOf)
+	if b.leases.lapsed > 0 {
+		b.reviewLeases()
+	}
+}
+
+// recordLease learns from the end of an attempt whether its worker drains.
+func (b *Balancer) recordLease(w *worker, e OutcomeEvent) {
+	if !b.settings.EndpointLeases || e.WrittenAt == 0 {
+		return
+	}
+	switch e.Status {
+	case OK:
+		w.lease.Served(e.WrittenAt)
+	case Rejected:
+		w.lease.Rejected(e.WrittenAt)
+	default:
+		return
+	}
+	if b.available(w) != w.listed {
+		b.reviewLeases()
+	} else if w.listed { // it may end sooner now
+		b.leases.checkAt = min(b.leases.checkAt, b.now+b.leaseLeft(w)+1)
+	}
+}
+
+// checkLeases takes workers out of all decisions whose leases have ended.
+func (b *Balancer) checkLeases() {
+	if b.settings.EndpointLeases && b.now >= b.leases.checkAt {
+		b.reviewLeases()
+	}
+}
+
+// reviewLeases brings the ready workers up to date with all leases, and tells what has changed.
+func (b *Balancer) reviewLeases() {
+	var ready, changed []*worker
+	change := LeasesChanged{NewsAge: b.now - b.leases.newsAsOf}
+	for _, w := range b.workers {
+		if w.State != Ready {
+			continue
+		}
+		ready = append(ready, w)
+		if live := b.available(w); live != w.listed {
+			changed = append(changed, w)
+			change.note(w, live, b.leases.newsAsOf)
+		}
+	}
+	slices.SortFunc(changed, compareIDs)
+	b.updateReady(changed)
+	b.leases.lapsed = len(ready) - len(b.ready)
+	b.leases.checkAt = b.nextLeaseEnd()
+	if len(changed) > 0 {
+		slices.Sort(change.Workers)
+		change.Live = len(b.ready)
+		b.emit(change)
+	}
+}
+
+// nextLeaseEnd returns when the first lease of a ready worker ends.
+func (b *Balancer) nextLeaseEnd() time.Duration {
+	next := b.now + b.settings.leaseTerms.News
+	for _, w := range b.ready {
+		next = min(next, b.now+b.leaseLeft(w)+1)
+	}
+	return next
+}
+
+// note counts a worker whose lease has ended or is live again.
+func (c *LeasesChanged) note(w *worker, live bool, newsAsOf time.Duration) {
+	switch {
+	case live:
+		c.Renewed++
+	case w.lease.Contested(newsAsOf):
+		c.Contested++
+	default:
+		c.Ended++
+	}
+	c.Workers = append(c.Workers, w.ID)
+}
--- /dev/null
+++ b/internal/balancer/leases_test.go
@@ -0,0 +1,121 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"kitefall/internal/permit"
+)
+
+// newLeaseFleet returns a fleet whose leases end, with the time at which it was listed.
+func newLeaseFleet(t *testing.T, workers int) (f *testFleet, listedAt time.Duration) {
+	t.Helper()
+	s := testSettings()
+	s.EndpointLeases = true
+	f = newFleet(t, s, 1)
+	f.advance(time.Second)
+	f.listWorkers(workers)
+	return f, f.now
+}
+
+// leaseEnd returns when what is known at a time of a worker ends.
+func (f *testFleet) leaseEnd(news time.Duration) time.Duration {
+	return news + permit.NewLeaseTerms(f.settings.DrainGrace).News
+}
+
+// news tells that discovery knew nothing more at a time.
+func (f *testFleet) news(asOf time.Duration) { f.event(NewsEvent{AsOf: asOf}) }
+
+// A worker counts as ready no longer than what was told of it: nothing is sent or ordered beyond that. A request waits for
+// news as long as it has time, and goes on once there is some (incident 3).
+func TestNothingIsSentOnceLeasesHaveEnded(t *testing.T) {
+	f, listedAt := newLeaseFleet(t, 3)
+	f.advance(f.leaseEnd(listedAt) - 2*LeaseChoiceMargin)
+	f.serve("safe", "before")
+	f.advance(f.now + permit.MaxNotificationDelay) // past the lease by the call that was served, too
+	sent, loads := len(f.sent), len(f.loads)
+	id := f.request("safe", "fn", 2*time.Second)
+	f.advance(f.now + 500*ms)
+	assert.Len(t, f.sent, sent)
+	assert.Len(t, f.loads, loads)
+	assert.Empty(t, f.b.ready)
+	assert.False(t, f.rejected[id], "it waits")
+	f.news(f.now - 100*ms)
+	f.advance(f.now + 20*ms)
+	assert.Len(t, f.b.ready, 3)
+	assert.Len(t, f.loads, loads+1)
+	f.endLoads(OK)
+	assert.Len(t, f.open[id].sends, 1)
+	f.endLatestAttempt(id, OK, 10*ms)
+}
+
+// Without news a request is rejected, never sent.
+func TestRequestIsRejectedWhereNoLeaseIsLeft(t *testing.T) {
+	f, listedAt := newLeaseFleet(t, 3)
+	f.advance(f.leaseEnd(listedAt))
+	id := f.request("unsafe", "fn", 400*ms)
+	f.advance(f.now + 400*ms)
+	assert.True(t, f.rejected[id])
+	assert.Empty(t, f.sent)
+}
+
+// The fleet serves on with the workers that serve: a call that is served renews the lease of its worker alone.
+func TestServedCallsKeepTheirWorker(t *testing.T) {
+	f, listedAt := newLeaseFleet(t, 4)
+	w := f.serve("safe", "fn")
+	for f.now < f.leaseEnd(listedAt)+10*time.Second {
+		f.advance(f.now + time.Second)
+		require.Equal(t, w, f.serve("safe", "fn"))
+	}
+	require.Len(t, f.b.ready, 1)
+	assert.Equal(t, w, f.b.ready[0].ID)
+	f.news(f.now)
+	assert.Len(t, f.b.ready, 4)
+}
+
+// News of the last poll does not renew the lease of a worker that rejects, until it serves or the list names it: discovery may
+// have nothing new since it is cut off itself.
+func TestRejectionsContestTheNews(t *testing.T) {
+	f, listedAt := newLeaseFleet(t, 2)
+	w := f.serve("safe", "fn")
+	id := f.request("safe", "fn", 2*time.Second)
+	require.Equal(t, w, f.firstWorker(id))
+	f.endAttempt(id, 0, Rejected)
+	for f.now < f.leaseEnd(listedAt)+time.Second {
+		f.advance(f.now + time.Second)
+		f.news(f.now)
+	}
+	require.Len(t, f.b.ready, 1)
+	assert.NotEqual(t, w, f.b.ready[0].ID)
+	f.update(ScopeDelta, Worker{ID: w, Weight: 1, Zone: "z0"})
+	assert.Len(t, f.b.ready, 2, "the list names it")
+}
+
+// The operators are told which leases end, and how many are left.
+func TestChangesOfLeasesAreTold(t *testing.T) {
+	f, listedAt := newLeaseFleet(t, 2)
+	f.advance(f.leaseEnd(listedAt) - LeaseChoiceMargin)
+	var told []LeasesChanged
+	f.now = f.leaseEnd(listedAt) + 1
+	for _, e := range []Event{TimerEvent{TimerID: f.b.timer.id}, NewsEvent{AsOf: f.now - 2}} {
+		for _, a := range f.b.Handle(f.now, e) {
+			if change, ok := a.(LeasesChanged); ok {
+				told = append(told, change)
+			}
+		}
+	}
+	ids := []WorkerID{"w00", "w01"}
+	assert.Equal(t, []LeasesChanged{{Workers: ids, Ended: 2, NewsAge: f.now}, {Workers: ids, Renewed: 2, Live: 2, NewsAge: 2}}, told)
+}
+
+// Where the settings do not have leases end, as in the simulator, what the list says stays.
+func TestWithoutLeasesTheListStays(t *testing.T) {
+	f := newFleet(t, testSettings(), 1)
+	f.listWorkers(2)
+	f.advance(time.Minute)
+	f.serve("safe", "fn")
+	assert.Len(t, f.b.ready, 2)
+}
--- a/internal/balancer/loadorders.go
+++ b/internal/balancer/loadorders.go
@@ -22,7 +22,8 @@
 
 // orderLoad is the one place that emits Load. It keeps to drains, the load budget and the bound in flight.
 func (b *Balancer) orderLoad(f *function, p *placement, copies int, maxInFlight float64) bool {
-	if p.ordered || b.now < p.noOrderUntil || p.worker.State != Ready {
+	start := permit.Start{Worker: p.worker.State.Permitted(), LeaseLeft: b.leaseLeft(p.worker)}
+	if p.ordered || b.now < p.noOrderUntil || start.Check() != permit.Allowed {
 		return false
 	}
 	if !b.settings.LoadOrders || f.id == "" || b.unknownFunction(f) {
@@ -99,7 +100,7 @@
 // loadWaitOver reports whether a request has waited long enough for its load order, or in vain.
 func (b *Balancer) loadWaitOver(r *request) bool {
 	p := r.waitingFor
-	workerLost := p.worker.State != Ready || p.worker.unavailable()
+	workerLost := !b.available(p.worker) || p.worker.unavailable()
 	return !p.ordered || b.now > r.waitUntil || workerLost
 }
 
--- a/internal/balancer/outcome.go
+++ b/internal/balancer/outcome.go
@@ -13,6 +13,7 @@
 	b.recordLatency(a, e)
 	b.recordFailure(a, e.Status)
 	b.recordContact(a, e)
+	b.recordLease(a.worker, e)
 	switch e.Status {
 	case OK:
 		b.onAnswer(a, e)
--- a/internal/balancer/rendezvous.go
+++ b/internal/balancer/rendezvous.go
@@ -84,7 +84,7 @@
 	// All go before any comes, since the keys of the others are what the order is by.
 	r.prefix = slices.DeleteFunc(r.prefix, func(w *worker) bool { return slices.Contains(changed, w) })
 	for i, w := range changed {
-		if w.State == Ready && !slices.Contains(changed[:i], w) {
+		if w.listed && !slices.Contains(changed[:i], w) {
 			r.insert(w)
 		}
 	}
--- a/internal/balancer/settings.go
+++ b/internal/balancer/settings.go
@@ -1,6 +1,10 @@
 package balancer
 
-import "time"
+import (
+	"time"
+
+	"kitefall/internal/permit"
+)
 
 // RequestID names one try of a client's request at this dispatcher.
 type RequestID int64
@@ -79,6 +83,9 @@
 	PollTimeout   time.Duration // with PollEndpoints: longest silence before the list counts as known
 	LiveWeights   bool          // Worker.Weight falls with the worker's load
 	DialTimeout   time.Duration
+	// EndpointLeases has what the list says of a worker expire, see permit.Lease. NewsEvents have to come.
+	EndpointLeases bool
+	leaseTerms     permit.LeaseTerms
 
 	// Limits of the fleet.
 	AnswerGrace       time.Duration // a final answer is in time this long past the deadline
--- a/internal/balancer/starttimes.go
+++ b/internal/balancer/starttimes.go
@@ -1,10 +1,10 @@
 package balancer
 
-import "time"
+import (
+	"time"
 
-// maxNotificationDelay is how late news of the endpoint list may be, for as long as the list is followed
-// (source: client protocol, figures).
-const maxNotificationDelay = 7 * time.Second
+	"kitefall/internal/permit"
+)
 
 // StartTimes translates the starts of workers, which the endpoint list tells by other clocks, into the
 // balancer's time. It never looks at this machine's wall clock, which may be wrong by hours, at the start of
@@ -17,7 +17,7 @@
 // list, the latest start counts as one of this moment.
 //
 // Should the list's clock be wrong, or not be one clock, then the age of a worker that starts while the list
-// is followed is still at most maxNotificationDelay when the news comes.
+// is followed is still at most permit.MaxNotificationDelay when the news comes.
 type StartTimes struct {
 	hasList   bool          // the first list was taken in
 	hasOffset bool          // a start was told
@@ -68,7 +68,7 @@
 	}
 	started := max(t.Time-s.offset, 1)
 	if s.hasList {
-		started = max(started, now-maxNotificationDelay)
+		started = max(started, now-permit.MaxNotificationDelay)
 	}
 	if known {
 		started = max(started, last.started+1)
--- a/internal/balancer/starttimes_test.go
+++ b/internal/balancer/starttimes_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"kitefall/internal/permit"
 )
 
 // A list whose clock is at listTime when the balancer's is at ownTime.
@@ -41,7 +43,7 @@
 		"a restart after a step back":    {{"a", listTime - time.Hour}},
 	} {
 		for i, started := range s.Translate(now, told) {
-			assert.LessOrEqual(t, now-started, maxNotificationDelay, "%s: %s", name, told[i].ID)
+			assert.LessOrEqual(t, now-started, permit.MaxNotificationDelay, "%s: %s", name, told[i].ID)
 			assert.LessOrEqual(t, started, now, "%s: %s", name, told[i].ID)
 		}
 	}
@@ -55,7 +57,7 @@
 	assert.Equal(t, times{first}, s.Translate(now, []ReportedStart{{"a", listTime}}))
 	assert.Greater(t, s.Translate(now, []ReportedStart{{"a", listTime + time.Minute}})[0], first, "a restart is later")
 	s.Forget("a")
-	assert.Equal(t, times{now - maxNotificationDelay}, s.Translate(now, []ReportedStart{{"a", listTime}}), "as one never heard of")
+	assert.Equal(t, times{now - permit.MaxNotificationDelay}, s.Translate(now, []ReportedStart{{"a", listTime}}), "as one never heard of")
 }
 
 // The list's clock may tell of starts that lie further back than the balancer's time reaches.
--- a/internal/balancer/sweep.go
+++ b/internal/balancer/sweep.go
@@ -17,6 +17,7 @@
 	if b.now-b.hotSet.updatedAt >= hotSetInterval {
 		b.updateHotSet()
 	}
+	b.checkLeases()
 	b.checkWorkers()
 	var waiting []*request
 	for _, r := range slices.Clone(b.unanswered) {
--- a/internal/balancer/worker.go
+++ b/internal/balancer/worker.go
@@ -1,6 +1,10 @@
 package balancer
 
-import "time"
+import (
+	"time"
+
+	"kitefall/internal/permit"
+)
 
 // worker is what is known of one worker.
 type worker struct {
@@ -8,7 +12,8 @@
 	zone         *zone   // that of Worker.Zone
 	fullWeight   float64 // Worker.Weight, or the largest seen where weights are live
 	hash         uint64  // of the ID
-	listed       bool    // it is among the ready workers
+	lease        permit.Lease
+	listed       bool    // it is among the ready workers: the list calls it ready, and its lease is live
 	listedWeight float64 // fullWeight when the list last changed it
 	hotCalls     float64 // its part of this dispatcher's calls of hot functions
 	removedAt    time.Duration
--- a/internal/discovery/protocol.go
+++ b/internal/discovery/protocol.go
@@ -62,6 +62,7 @@
 type Update struct {
 	Scope     balancer.UpdateScope
 	Endpoints []Endpoint
+	AsOf      time.Time // when the poll was sent that it answers; zero: as of its arrival
 }
 
 // pollURL is the address of a poll for the events after a revision, which the server may hold for the time of wait.
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -50,7 +50,7 @@
 //
 // Seed must not be called during Run. SetAddress may be called from any goroutine at any time.
 type Watcher struct {
-	onUpdate func(Update)
+	receiver Receiver
 	client   *http.Client
 	revision int64     // of the last event that was passed on
 	hasList  bool      // an event with the whole list was passed on
@@ -62,15 +62,23 @@
 	addrChanged chan struct{} // closed when addr changes, and replaced
 }
 
+// Receiver takes in what a Watcher hears. It is called from the goroutine of Seed or Run.
+type Receiver interface {
+	// UpdateEndpoints takes in an endpoint list or a change of it.
+	UpdateEndpoints(update Update)
+	// ConfirmEndpoints takes in that the updates so far were all that discovery knew at a time.
+	ConfirmEndpoints(asOf time.Time)
+}
+
 // NewWatcher returns a watcher of the endpoint list at addr (host:port), whose connections take their descriptors from a
-// share. Updates go to onUpdate, which is called from the goroutine of Seed or Run.
-func NewWatcher(addr string, share *descriptors.Share, onUpdate func(Update)) *Watcher {
+// share.
+func NewWatcher(addr string, share *descriptors.Share, receiver Receiver) *Watcher {
 	transport := &http.Transport{ // without a proxy, whatever the environment says
 		DialContext:         share.DialContext,
 		MaxIdleConnsPerHost: 1,
 		MaxIdleConns:        1,
 	}
-	return &Watcher{addr: addr, onUpdate: onUpdate, client: &http.Client{Transport: transport},
+	return &Watcher{addr: addr, receiver: receiver, client: &http.Client{Transport: transport},
 		addrChanged: make(chan struct{}), news: freshness{asOf: time.Now()}}
 }
 
@@ -91,9 +99,9 @@
 	return w.addr, w.addrChanged
 }
 
-// Seed passes on the events that were known at the start. They may be old, so the whole list among them has the scope
-// balancer.ScopeStale.
-func (w *Watcher) Seed(known WatchResponse) { w.apply(known, balancer.ScopeStale) }
+// Seed passes on the events that were known at the start. They may have missed changes of the last moment, so the whole list
+// among them has the scope balancer.ScopeStale.
+func (w *Watcher) Seed(known WatchResponse) { w.apply(known, balancer.ScopeStale, time.Now()) }
 
 // Run polls the server until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
@@ -164,8 +172,12 @@
 		}
 		return err
 	}
-	hasNew := w.apply(response, balancer.ScopeFull)
-	w.news.note(w.outcome(response, hasNew), sent, time.Now(), w.revision)
+	hasNew := w.apply(response, balancer.ScopeFull, sent)
+	outcome := w.outcome(response, hasNew)
+	w.news.note(outcome, sent, time.Now(), w.revision)
+	if outcome.isNews() {
+		w.receiver.ConfirmEndpoints(sent)
+	}
 	if !hasNew && time.Since(sent) < earlyAnswer {
 		return errNothingNew
 	}
@@ -205,9 +217,9 @@
 	return response, err
 }
 
-// apply passes on the events that are new and reports whether there were any; fullScope is the scope of whole lists. The
-// revision follows the events, not the answer: that may name an event which has not come.
-func (w *Watcher) apply(response WatchResponse, fullScope balancer.UpdateScope) (hasNew bool) {
+// apply passes on the events that are new, as of a time, and reports whether there were any; fullScope is the scope of whole
+// lists. The revision follows the events, not the answer: that may name an event which has not come.
+func (w *Watcher) apply(response WatchResponse, fullScope balancer.UpdateScope, asOf time.Time) (hasNew bool) {
 	for _, event := range response.Events {
 		if !w.isNew(&event) {
 			continue
@@ -215,7 +227,9 @@
 		w.revision = event.Revision
 		w.hasList = w.hasList || event.Pool.All
 		hasNew = true
-		w.onUpdate(event.update(fullScope))
+		update := event.update(fullScope)
+		update.AsOf = asOf
+		w.receiver.UpdateEndpoints(update)
 	}
 	return hasNew
 }
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -42,13 +42,22 @@
 // polledRevision returns the revision that a poll names as the last one known.
 func polledRevision(r *http.Request) string { return r.URL.Query().Get("watch") }
 
-// newSeededWatcher returns a watcher that knows fullList, and the updates that it has passed on.
-func newSeededWatcher(t *testing.T, server *httptest.Server) (*discovery.Watcher, *[]discovery.Update) {
+// recorder keeps what a watcher passes on.
+type recorder struct {
+	updates   []discovery.Update
+	confirmed []time.Time
+}
+
+func (r *recorder) UpdateEndpoints(update discovery.Update) { r.updates = append(r.updates, update) }
+func (r *recorder) ConfirmEndpoints(asOf time.Time)         { r.confirmed = append(r.confirmed, asOf) }
+
+// newSeededWatcher returns a watcher that knows fullList, and what it has passed on.
+func newSeededWatcher(t *testing.T, server *httptest.Server) (*discovery.Watcher, *recorder) {
 	t.Helper()
-	updates := &[]discovery.Update{}
-	watcher := discovery.NewWatcher(address(server), descriptors.NewShare(4), func(u discovery.Update) { *updates = append(*updates, u) })
+	heard := &recorder{}
+	watcher := discovery.NewWatcher(address(server), descriptors.NewShare(4), heard)
 	watcher.Seed(parse(t, fullList))
-	return watcher, updates
+	return watcher, heard
 }
 
 // A poll fails once, then the answer repeats an event that was passed on already: polls must go on, and the list must not
@@ -71,11 +80,11 @@
 		}
 		answers = answers[min(1, len(answers)):]
 	})
-	watcher, updates := newSeededWatcher(t, server)
+	watcher, heard := newSeededWatcher(t, server)
 	watcher.Run(ctx)
 	assert.Equal(t, []string{"41", "41", "42"}, []string{<-revisions, <-revisions, <-revisions})
-	require.Len(t, *updates, 2)
-	seeded, changed := (*updates)[0], (*updates)[1]
+	require.Len(t, heard.updates, 2)
+	seeded, changed := heard.updates[0], heard.updates[1]
 	assert.Equal(t, balancer.ScopeStale, seeded.Scope)
 	assert.Equal(t, discovery.Endpoint{Addr: "10.1.0.9:4100", Worker: balancer.Worker{ID: "s-1", Kind: "std", Zone: "east",
 		Cell: 2, Weight: 4}, ReportedStart: 7 * time.Millisecond}, seeded.Endpoints[0])
@@ -134,7 +143,7 @@
 		polledAt <- time.Now()
 		revisions <- polledRevision(r)
 	})
-	watcher, updates := newSeededWatcher(t, server)
+	watcher, heard := newSeededWatcher(t, server)
 	watcher.Run(ctx)
 	require.Len(t, polledAt, answered+1)
 	previous := <-polledAt
@@ -145,19 +154,64 @@
 	}
 	assert.Equal(t, []string{"41", "41", "41", "41", "42"},
 		[]string{<-revisions, <-revisions, <-revisions, <-revisions, <-revisions})
-	require.Len(t, *updates, 2)
-	changed := (*updates)[1]
+	require.Len(t, heard.updates, 2)
+	changed := heard.updates[1]
 	require.Len(t, changed.Endpoints, 1)
 	assert.Equal(t, balancer.WorkerID("s-1"), changed.Endpoints[0].ID)
 }
 
 // A change means nothing before there is a list that it could change.
 func TestChangesAheadOfTheFirstFullListAreSkipped(t *testing.T) {
-	var updates []discovery.Update
-	watcher := discovery.NewWatcher("", descriptors.NewShare(4), func(u discovery.Update) { updates = append(updates, u) })
+	heard := &recorder{}
+	watcher := discovery.NewWatcher("", descriptors.NewShare(4), heard)
 	watcher.Seed(parse(t, `{"rev":3,"notices":[{"rev":1,"pool":{"targets":[{"uid":"s-1","state":"active"}]}}]}`))
-	assert.Empty(t, updates)
+	assert.Empty(t, heard.updates)
 	watcher.Seed(parse(t, `{"rev":3,"notices":[{"rev":2,"pool":{"all":true,"targets":[{"uid":"s-2","state":"left"}]}}]}`))
+	require.Len(t, heard.updates, 1)
+	assert.WithinDuration(t, time.Now(), heard.updates[0].AsOf, time.Minute)
+	heard.updates[0].AsOf = time.Time{}
 	assert.Equal(t, []discovery.Update{{Scope: balancer.ScopeStale, Endpoints: []discovery.Endpoint{
-		{Worker: balancer.Worker{ID: "s-2", Weight: 1, State: balancer.Removed}}}}}, updates)
+		{Worker: balancer.Worker{ID: "s-2", Weight: 1, State: balancer.Removed}}}}}, heard.updates)
+	assert.Empty(t, heard.confirmed, "the list of the start is not confirmed by anybody")
+}
+
+// Only an answer that leaves nothing out is news: not one of a server that is behind, or that names an event which has not come.
+// What is news is so as of the moment at which the poll was sent.
+func TestOnlyWholeAnswersAreNews(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer string
+		isNews bool
+	}{
+		"nothing new":     {`{"rev":41,"notices":[]}`, true},
+		"a new event":     {`{"rev":42,"notices":[{"rev":42,"pool":{"targets":[{"uid":"s-1","state":"leaving"}]}}]}`, true},
+		"behind":          {`{"rev":40,"notices":[]}`, false},
+		"an old list":     {`{"rev":1,"notices":[{"rev":1,"pool":{"all":true,"targets":[]}}]}`, false},
+		"an event is due": {`{"rev":43,"notices":[{"rev":42,"pool":{"targets":[{"uid":"s-1","state":"leaving"}]}}]}`, false},
+		"cut off":         {`{"rev":41,`, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			answered := false
+			server := newServer(t, func(w http.ResponseWriter, _ *http.Request) {
+				if answered {
+					cancel()
+					return
+				}
+				answered = true
+				w.Write([]byte(test.answer))
+			})
+			watcher, heard := newSeededWatcher(t, server)
+			begin := time.Now()
+			watcher.Run(ctx)
+			if !test.isNews {
+				assert.Empty(t, heard.confirmed)
+				return
+			}
+			require.Len(t, heard.confirmed, 1)
+			assert.WithinRange(t, heard.confirmed[0], begin, time.Now())
+			for _, update := range heard.updates[1:] {
+				assert.Equal(t, heard.confirmed[0], update.AsOf)
+			}
+		})
+	}
 }
--- a/internal/dispatch/actions.go
+++ b/internal/dispatch/actions.go
@@ -49,6 +49,8 @@
 		c.unload(a)
 	case balancer.SetTimer:
 		c.timers.add(time.Now().Add(a.After), balancerTimerFired{id: a.TimerID})
+	case balancer.LeasesChanged:
+		logLeases(a)
 	case balancer.Log:
 		slog.Info("balancer: " + a.Text)
 	default: // Watch and Fetch: the watcher of the endpoint list takes no orders from the core
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -127,7 +127,7 @@
 		return
 	}
 	if reason := c.permitAttempt(a); reason != permit.Allowed {
-		noteRefusal(reason, "attempt", "call", a.request.logID(), "worker", string(a.workerID))
+		noteRefusal(reason, a.created, "attempt", "call", a.request.logID(), "worker", string(a.workerID))
 		c.endAttempt(a, worker.Result{Status: balancer.NotSent})
 		return
 	}
@@ -140,6 +140,7 @@
 		Body:      r.call.Body,
 		Deadline:  a.deadline,
 		StartBy:   a.startBy,
+		LeaseEnd:  c.leaseEnd(a.workerID),
 		Abandoned: r.handle.finished.Load,
 	}
 	pending, err := e.pool.Call(outgoing, func(result worker.Result) {
@@ -189,6 +190,7 @@
 	r := a.request
 	r.activeAttempts--
 	c.timers.remove(a.timeout)
+	writtenAt := c.recordLease(a, result)
 	if result.Status == balancer.OK {
 		c.answer(r, call.Answer{Outcome: call.Served, Body: result.Body})
 	}
@@ -202,5 +204,6 @@
 		Answered:   r.closed,
 		Warmth:     result.Warmth,
 		QueueDepth: result.QueueDepth,
+		WrittenAt:  writtenAt,
 	})
 }
--- a/internal/dispatch/attempts_test.go
+++ b/internal/dispatch/attempts_test.go
@@ -84,7 +84,7 @@
 		return []balancer.Action{balancer.Send{ID: r.ID, Worker: "s-1"}}
 	}}
 	c.balancer = scripted
-	c.endpointAt("s-1", "127.0.0.1:1")
+	c.listNow("s-1")
 	var answers []call.Answer
 	submitted := &call.Call{Class: "consulta", Function: testFunction, Deadline: time.Now().Add(time.Hour),
 		Done: func(a call.Answer) { answers = append(answers, a) }}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -12,6 +12,7 @@
 import (
 	"errors"
 	"sync/atomic"
+	"time"
 
 	"kitefall/internal/balancer"
 	"kitefall/internal/call"
@@ -58,6 +59,7 @@
 	lastID         balancer.RequestID
 	requests       map[balancer.RequestID]*request
 	endpoints      map[balancer.WorkerID]*endpoint
+	newsAsOf       time.Duration              // when the last poll was sent that brought news, in the balancer's time
 	removed        map[balancer.WorkerID]bool // those of endpoints that were removed
 	startTimes     *balancer.StartTimes
 	loads          map[loadKey]*loadOrder
@@ -68,6 +70,7 @@
 func New(config Config) (*Core, error) {
 	// The frontends decide whether a client is told Retry-After; the balancer always advises.
 	config.Settings.SendRetryAfter = true
+	config.Settings.EndpointLeases = true // what discovery has to tell counts as told, whether it arrives or not
 	b, err := balancer.New(config.Settings, config.Seed)
 	if err != nil {
 		return nil, err
@@ -148,6 +151,9 @@
 	c.post(endpointsUpdated{update: update})
 }
 
+// ConfirmEndpoints notes that the updates so far were all that discovery knew at a time.
+func (c *Core) ConfirmEndpoints(asOf time.Time) { c.post(endpointsConfirmed{asOf: asOf}) }
+
 // Stop ends Run and waits for its return; it may be called once. Calls in flight remain unanswered.
 func (c *Core) Stop() {
 	close(c.stop)
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -32,6 +32,11 @@
 	return c
 }
 
+// listNow adds a worker at an address where nothing listens, as one that the list calls ready now.
+func (c *Core) listNow(id balancer.WorkerID) {
+	c.endpointAt(id, "127.0.0.1:1").lease.Listed(c.clock.balancerTime(time.Now()))
+}
+
 // idempotentSettings are settings with one class, whose requests may be repeated.
 func idempotentSettings() balancer.Settings {
 	return balancer.Settings{
--- a/internal/dispatch/endpoints.go
+++ b/internal/dispatch/endpoints.go
@@ -7,6 +7,7 @@
 	"kitefall/internal/balancer"
 	"kitefall/internal/discovery"
 	"kitefall/internal/logthrottle"
+	"kitefall/internal/metrics"
 	"kitefall/internal/permit"
 	"kitefall/internal/worker"
 )
@@ -14,15 +15,25 @@
 // workerStateLog throttles the line of workers that begin to drain, leave or return: a list may name thousands.
 var workerStateLog = logthrottle.New()
 
+// leaseLog throttles the line of leases, and loggedWorkers is how many workers such a line names.
+var leaseLog = logthrottle.New()
+
+const loggedWorkers = 4
+
 // endpoint is a worker's address and the connection pool for it.
 type endpoint struct {
 	addr  string
 	pool  *worker.Pool
 	state permit.Worker // once removed, the endpoint stays until its pool is idle
+	lease permit.Lease
 }
 
 // updateEndpoints takes in an endpoint list or a change of it. Where it names a worker twice, the last entry counts.
 func (c *Core) updateEndpoints(update discovery.Update) {
+	asOf := c.clock.balancerTime(time.Now())
+	if !update.AsOf.IsZero() {
+		asOf = c.clock.balancerTime(update.AsOf)
+	}
 	listed := map[balancer.WorkerID]bool{}
 	workers := make([]balancer.Worker, 0, len(update.Endpoints))
 	starts := c.translateStarts(update.Endpoints)
@@ -30,17 +41,34 @@
 		entry.Started = starts[i]
 		listed[entry.ID] = true
 		workers = append(workers, entry.Worker)
-		c.updateEndpoint(entry)
+		c.updateEndpoint(entry, asOf)
 	}
 	if update.Scope != balancer.ScopeDelta {
 		c.markAbsentRemoved(listed)
 	}
 	c.deleteRemovedEndpoints()
 	slog.Info("core: endpoints updated", "scope", int(update.Scope), "entries", len(update.Endpoints), "workers", len(c.endpoints))
-	c.notifyBalancer(balancer.EndpointsEvent{Scope: update.Scope, Workers: workers})
+	c.notifyBalancer(balancer.EndpointsEvent{Scope: update.Scope, Workers: workers, AsOf: asOf})
 	c.endpointsKnown.Store(true)
 }
 
+// confirmEndpoints takes in that discovery knew nothing more at a time.
+func (c *Core) confirmEndpoints(asOf time.Time) {
+	at := c.clock.balancerTime(asOf)
+	c.newsAsOf = max(c.newsAsOf, at)
+	c.notifyBalancer(balancer.NewsEvent{AsOf: at})
+}
+
+// logLeases logs that leases of workers have ended or are live again.
+func logLeases(change balancer.LeasesChanged) {
+	metrics.Leases.AddMany("ended", change.Ended)
+	metrics.Leases.AddMany("contested", change.Contested)
+	metrics.Leases.AddMany("renewed", change.Renewed)
+	first := change.Workers[:min(len(change.Workers), loggedWorkers)]
+	leaseLog.Log(slog.LevelInfo, "core: leases of workers have changed", "ended", change.Ended, "contested", change.Contested,
+		"renewed", change.Renewed, "live", change.Live, "news_age", change.NewsAge.Round(time.Millisecond), "first", first)
+}
+
 // translateStarts returns the starts of the workers in the balancer's time.
 func (c *Core) translateStarts(endpoints []discovery.Endpoint) []time.Duration {
 	told := make([]balancer.ReportedStart, 0, len(endpoints))
@@ -50,11 +78,12 @@
 	return c.startTimes.Translate(c.clock.balancerTime(time.Now()), told)
 }
 
-// updateEndpoint brings the endpoint of one worker up to date.
-func (c *Core) updateEndpoint(entry discovery.Endpoint) {
+// updateEndpoint brings the endpoint of one worker up to date with what was so at a time.
+func (c *Core) updateEndpoint(entry discovery.Endpoint, asOf time.Duration) {
 	e := c.endpointAt(entry.ID, entry.Addr)
 	c.setEndpointState(entry.ID, e, entry.State.Permitted())
 	if e.state == permit.WorkerReady {
+		e.lease.Listed(asOf)
 		e.pool.MarkReady(c.clock.at(entry.Started))
 	} else {
 		e.pool.MarkUnavailable(e.state)
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -41,6 +41,8 @@
 	}
 	// endpointsUpdated brings an endpoint list or a change of it.
 	endpointsUpdated struct{ update discovery.Update }
+	// endpointsConfirmed means that the updates so far were all that discovery knew at a time.
+	endpointsConfirmed struct{ asOf time.Time }
 )
 
 // Events that come from timers.
@@ -61,6 +63,7 @@
 func (attemptEnded) dispatchEvent()       {}
 func (loadEnded) dispatchEvent()          {}
 func (endpointsUpdated) dispatchEvent()   {}
+func (endpointsConfirmed) dispatchEvent() {}
 func (answerOverdue) dispatchEvent()      {}
 func (attemptTimedOut) dispatchEvent()    {}
 func (loadTimedOut) dispatchEvent()       {}
@@ -123,6 +126,8 @@
 		c.endLoad(e.order, e.result)
 	case endpointsUpdated:
 		c.updateEndpoints(e.update)
+	case endpointsConfirmed:
+		c.confirmEndpoints(e.asOf)
 	case answerOverdue:
 		c.onAnswerOverdue(e.request)
 	case attemptTimedOut:
--- a/internal/dispatch/loads.go
+++ b/internal/dispatch/loads.go
@@ -37,7 +37,7 @@
 	order := &loadOrder{key: loadKey{load.Worker, load.Function}, created: time.Now()}
 	c.loads[order.key] = order
 	if reason := c.permitLoad(load.Worker, order.created); reason != permit.Allowed {
-		noteRefusal(reason, "load order", "worker", string(load.Worker), "function", string(load.Function))
+		noteRefusal(reason, order.created, "load order", "worker", string(load.Worker), "function", string(load.Function))
 		c.endLoad(order, worker.Result{Status: balancer.NotSent})
 		return
 	}
@@ -47,7 +47,14 @@
 	if load.StartWithin > 0 {
 		startBy = order.created.Add(load.StartWithin)
 	}
-	pending, err := e.pool.Load(string(load.Function), load.Copies, startBy, deadline, func(result worker.Result) {
+	outgoing := worker.LoadOrder{
+		Function: string(load.Function),
+		Copies:   load.Copies,
+		StartBy:  startBy,
+		LeaseEnd: c.leaseEnd(load.Worker),
+		Deadline: deadline,
+	}
+	pending, err := e.pool.Load(outgoing, func(result worker.Result) {
 		c.post(loadEnded{order: order, result: result})
 	})
 	if err != nil { // no room in the pool, as for an attempt
--- a/internal/dispatch/permits.go
+++ b/internal/dispatch/permits.go
@@ -8,6 +8,7 @@
 	"kitefall/internal/logthrottle"
 	"kitefall/internal/metrics"
 	"kitefall/internal/permit"
+	"kitefall/internal/worker"
 )
 
 // violationLog throttles the line of violations: a fault of the balancer could show with each request.
@@ -19,6 +20,7 @@
 	repeatable  map[string]bool // classes whose requests may run more than once
 	maxAttempts int
 	hedging     bool
+	leaseTerms  permit.LeaseTerms
 	loads       permit.LoadBudget
 }
 
@@ -27,6 +29,7 @@
 		repeatable:  map[string]bool{},
 		maxAttempts: max(1, s.MaxAttempts),
 		hedging:     s.Hedging,
+		leaseTerms:  permit.NewLeaseTerms(s.DrainGrace),
 		loads:       permit.LoadBudget{Burst: s.LoadBurst, Ratio: s.LoadRatio, Window: s.LoadWindow},
 	}
 	for _, class := range s.Classes {
@@ -42,6 +45,7 @@
 		Worker:     c.endpointState(a.workerID),
 		ClientGone: r.handle.finished.Load(),
 		TimeLeft:   time.Until(a.deadline),
+		LeaseLeft:  time.Until(c.leaseEnd(a.workerID)),
 	}
 	if reason := start.Check(); reason != permit.Allowed {
 		return reason
@@ -61,7 +65,7 @@
 
 // permitLoad checks a load order that is about to be handed to its worker's pool, and takes it from the budget.
 func (c *Core) permitLoad(id balancer.WorkerID, now time.Time) permit.Reason {
-	start := permit.Start{Worker: c.endpointState(id)}
+	start := permit.Start{Worker: c.endpointState(id), LeaseLeft: c.leaseEnd(id).Sub(now)}
 	if reason := start.Check(); reason != permit.Allowed {
 		return reason
 	}
@@ -77,10 +81,44 @@
 	return e.state
 }
 
-// noteRefusal counts what was not permitted, and logs a violation: what names the order, and about whom.
-func noteRefusal(reason permit.Reason, what string, attributes ...any) {
+// leaseEnd returns when the lease of a worker ends; long ago, where there is no such worker.
+func (c *Core) leaseEnd(id balancer.WorkerID) time.Time {
+	e := c.endpoints[id]
+	if e == nil {
+		return time.Time{}
+	}
+	return c.clock.at(e.lease.End(c.permits.leaseTerms, c.newsAsOf))
+}
+
+// recordLease learns from the end of an attempt whether its worker drains. It returns when the attempt was written, in the
+// balancer's time, where that is evidence; 0: it is not.
+func (c *Core) recordLease(a *attempt, result worker.Result) (writtenAt time.Duration) {
+	e := c.endpoints[a.workerID]
+	if e == nil || e.pool != a.pool || result.WrittenAt.IsZero() {
+		return 0
+	}
+	writtenAt = c.clock.balancerTime(result.WrittenAt)
+	switch result.Status {
+	case balancer.OK:
+		e.lease.Served(writtenAt)
+	case balancer.Rejected:
+		e.lease.Rejected(writtenAt)
+	}
+	return writtenAt
+}
+
+// isViolation reports whether what the balancer chose at a time, and was not permitted, is a fault of its choice. A lease may
+// end after the choice, but not sooner than the balancer leaves room for.
+func isViolation(reason permit.Reason, chosenAt time.Time) bool {
+	endedTooSoon := reason == permit.LeaseEnded && time.Since(chosenAt) < balancer.LeaseChoiceMargin
+	return reason.IsViolation() || endedTooSoon
+}
+
+// noteRefusal counts what was chosen at a time and is not permitted, and logs a violation: what names the order, and about
+// whom.
+func noteRefusal(reason permit.Reason, chosenAt time.Time, what string, attributes ...any) {
 	metrics.Refusals.Add(reason.String())
-	if !reason.IsViolation() {
+	if !isViolation(reason, chosenAt) {
 		return
 	}
 	metrics.Violations.Add(reason.String())
--- a/internal/dispatch/permits_test.go
+++ b/internal/dispatch/permits_test.go
@@ -10,6 +10,7 @@
 	"kitefall/internal/call"
 	"kitefall/internal/metrics"
 	"kitefall/internal/permit"
+	"kitefall/internal/worker"
 )
 
 // newPermitCore returns a core whose balancer answers each request with actions, and which knows a worker.
@@ -20,7 +21,7 @@
 	c.config.Pool.MaxStreams = 8
 	scripted := &recordingBalancer{onRequest: func(r balancer.RequestEvent) []balancer.Action { return actions(r.ID) }}
 	c.balancer = scripted
-	c.endpointAt("s-1", "127.0.0.1:1")
+	c.listNow("s-1")
 	return c, scripted
 }
 
@@ -83,3 +84,35 @@
 	assert.Equal(t, refusals+1, metrics.Refusals.Get("worker_draining"))
 	assert.Equal(t, violations, metrics.Violations.Get("worker_draining"))
 }
+
+// A balancer at fault chooses a worker of which nothing is known any more; an attempt that had to wait may find that too, which
+// is no fault.
+func TestNothingIsBegunWithoutALease(t *testing.T) {
+	c, scripted := newPermitCore(t, idempotentSettings(), func(id balancer.RequestID) []balancer.Action {
+		return []balancer.Action{balancer.Send{ID: id, Worker: "s-1"},
+			balancer.Load{Worker: "s-1", Function: "0000000000000001", Copies: 1}}
+	})
+	c.endpoints["s-1"].lease = permit.Lease{}
+	before := metrics.Violations.Get(permit.LeaseEnded.String())
+	acceptCall(c, "consulta")
+	assert.Equal(t, []balancer.Status{balancer.NotSent}, scripted.outcomes())
+	assert.Equal(t, before+2, metrics.Violations.Get(permit.LeaseEnded.String()), "the attempt and the load order")
+	assert.False(t, isViolation(permit.LeaseEnded, time.Now().Add(-time.Second)), "chosen long ago")
+}
+
+// What a worker serves renews its lease as of the moment at which it was written, and news does as of that of the poll.
+func TestLeaseIsRenewedByNewsAndServedCalls(t *testing.T) {
+	c, _ := newPermitCore(t, idempotentSettings(), func(id balancer.RequestID) []balancer.Action {
+		return []balancer.Action{balancer.Send{ID: id, Worker: "s-1"}}
+	})
+	terms := permit.NewLeaseTerms(c.config.Settings.DrainGrace)
+	c.endpoints["s-1"].lease = permit.Lease{}
+	polled := time.Now()
+	c.handle(endpointsConfirmed{asOf: polled})
+	assert.Equal(t, terms.News, c.leaseEnd("s-1").Sub(polled))
+	acceptCall(c, "consulta")
+	written := polled.Add(time.Minute)
+	c.handle(attemptEnded{attempt: c.requests[c.lastID].attempts[0], result: worker.Result{Status: balancer.OK, WrittenAt: written}})
+	assert.Equal(t, terms.Served, c.leaseEnd("s-1").Sub(written))
+	assert.True(t, c.leaseEnd("s-2").Before(polled), "a worker that nobody knows")
+}
--- a/internal/fakes/core.go
+++ b/internal/fakes/core.go
@@ -96,3 +96,8 @@
 	}
 	return update
 }
+
+// LoadOrder returns an order for one copy of a function, which may be given and answered until Deadline.
+func LoadOrder(function string) worker.LoadOrder {
+	return worker.LoadOrder{Function: function, Copies: 1, StartBy: Deadline(), LeaseEnd: Deadline(), Deadline: Deadline()}
+}
--- a/internal/fakes/worker_test.go
+++ b/internal/fakes/worker_test.go
@@ -27,7 +27,7 @@
 func startCall(t *testing.T, pool *worker.Pool, id uint64, body string) <-chan worker.Result {
 	t.Helper()
 	results := make(chan worker.Result, 1)
-	attempt := worker.Attempt{ID: id, Class: "consulta", Function: testFunction, Body: []byte(body), Deadline: fakes.Deadline()}
+	attempt := worker.Attempt{ID: id, Class: "consulta", Function: testFunction, Body: []byte(body), Deadline: fakes.Deadline(), LeaseEnd: fakes.Deadline()}
 	_, err := pool.Call(attempt, func(r worker.Result) { results <- r })
 	require.NoError(t, err)
 	return results
@@ -41,7 +41,7 @@
 	assert.Zero(t, w.CallCount("x"))
 
 	loads := make(chan worker.Result, 1)
-	_, err := pool.Load(testFunction, 1, fakes.Deadline(), fakes.Deadline(), func(r worker.Result) { loads <- r })
+	_, err := pool.Load(fakes.LoadOrder(testFunction), func(r worker.Result) { loads <- r })
 	require.NoError(t, err)
 	loaded := <-loads
 	assert.Equal(t, balancer.OK, loaded.Status)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -31,6 +31,8 @@
 	ClockSteps = newCounter("clock_steps")
 	// Discovery counts how often discovery fell silent, and how often it was heard again.
 	Discovery = newCounter("discovery")
+	// Leases counts leases of workers that have ended, for want of news or since a rejection contests them, or are live again.
+	Leases = newCounter("leases")
 	// LoadOrders counts load orders that have ended, by status.
 	LoadOrders = newCounter("load_orders")
 	// Polls counts polls of discovery that have ended, by outcome.
@@ -66,6 +68,13 @@
 // Add counts one more for the label.
 func (c *Counter) Add(label string) { c.labels.Add(label, 1) }
 
+// AddMany counts so many more for the label.
+func (c *Counter) AddMany(label string, count int) {
+	if count > 0 {
+		c.labels.Add(label, int64(count))
+	}
+}
+
 // Get returns the count of the label.
 func (c *Counter) Get(label string) int64 {
 	count, ok := c.labels.Get(label).(*expvar.Int)
--- a/internal/permit/attempt.go
+++ b/internal/permit/attempt.go
@@ -22,6 +22,7 @@
 	Worker     Worker
 	ClientGone bool          // with a load order: false
 	TimeLeft   time.Duration // in which it may be begun; it may not once this is negative
+	LeaseLeft  time.Duration // of the worker's lease; it may not be begun once this is negative
 }
 
 // Check returns Allowed, or why it may not be begun.
@@ -31,6 +32,8 @@
 		return WorkerRemoved
 	case s.Worker == WorkerIsDraining:
 		return WorkerDraining
+	case s.LeaseLeft < 0:
+		return LeaseEnded
 	case s.ClientGone:
 		return ClientGone
 	case s.TimeLeft < 0:
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -17,6 +17,8 @@
 		{Start{ClientGone: true, TimeLeft: 1}, ClientGone},
 		{Start{Worker: WorkerIsDraining, ClientGone: true}, WorkerDraining},
 		{Start{Worker: WorkerIsRemoved}, WorkerRemoved},
+		{Start{LeaseLeft: -1, ClientGone: true}, LeaseEnded},
+		{Start{Worker: WorkerIsDraining, LeaseLeft: -1}, WorkerDraining},
 	} {
 		assert.Equal(t, test.want, test.start.Check(), "%+v", test.start)
 		assert.False(t, test.want.IsViolation(), "it may come between the choice and the start")
--- a/internal/permit/reason.go
+++ b/internal/permit/reason.go
@@ -16,6 +16,7 @@
 	TooLate                  // its time is over
 	WorkerDraining           // its worker takes nothing new
 	WorkerRemoved            // its worker is gone, and another one may listen at its address
+	LeaseEnded               // what is known of its worker is too old to be relied on
 	RepeatForbidden          // it may have run, and must not run twice
 	AttemptPending           // another attempt is pending, and only one may be
 	AttemptsExhausted        // it has had all its attempts
@@ -29,6 +30,7 @@
 	TooLate:           "too_late",
 	WorkerDraining:    "worker_draining",
 	WorkerRemoved:     "worker_removed",
+	LeaseEnded:        "lease_ended",
 	RepeatForbidden:   "repeat_forbidden",
 	AttemptPending:    "attempt_pending",
 	AttemptsExhausted: "attempts_exhausted",
--- a/internal/soak/incident3_test.go
+++ b/internal/soak/incident3_test.go
@@ -134,3 +134,21 @@
 		assert.True(t, used[uid], "%s is not used %s after the list's return", uid, returnWithin)
 	}
 }
+
+// A fleet of many dispatchers with little traffic each, as in the operators' report, and one in which a third of the workers
+// drain: calls of each dispatcher to each worker are rare, so that few of them tell which workers are still ready.
+func TestFleetOfLittleTrafficServesOnWithoutDiscovery(t *testing.T) {
+	for name, run := range map[string]outageRun{
+		"two drain":   {dispatchers: 54, workers: 22, draining: 2, rate: 3, kind: OutageRefused},
+		"seven drain": {dispatchers: 54, workers: 22, draining: 7, rate: 3, kind: OutageSilent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, begin, end := run.play(t)
+			assert.Empty(t, Check(h))
+			t.Log("served before, during", h.servedShare(0, begin), h.servedShare(begin, end), h.servedShare(end, end+3*time.Second))
+			for s := begin; s < end; s += time.Second {
+				t.Log((s - begin).Seconds(), h.servedShare(s, s+time.Second))
+			}
+		})
+	}
+}
--- a/internal/worker/conn_test.go
+++ b/internal/worker/conn_test.go
@@ -25,6 +25,7 @@
 		"its worker is removed":     {Attempt{}, func(p *Pool) { p.MarkUnavailable(permit.WorkerIsRemoved) }},
 		"its start time has passed": {Attempt{StartBy: time.Now().Add(-time.Millisecond)}, func(*Pool) {}},
 		"its deadline has passed":   {Attempt{Deadline: time.Now().Add(-time.Millisecond)}, func(*Pool) {}},
+		"its lease has ended":       {Attempt{LeaseEnd: time.Now().Add(-time.Millisecond)}, func(*Pool) {}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newPoolFixture(t, time.Minute)
@@ -36,14 +37,18 @@
 	}
 }
 
-// A load order that has waited too long for its connection would count against a later window of the load budget.
-func TestLoadOrderIsRejectedAfterItsStartBy(t *testing.T) {
-	f := newPoolFixture(t, time.Minute)
-	results := make(chan Result, 1)
-	_, err := f.pool.Load(testFunction, 1, time.Now().Add(-time.Millisecond), time.Now().Add(time.Hour),
-		func(r Result) { results <- r })
-	require.NoError(t, err)
-	assert.Equal(t, balancer.Rejected, f.requireNextNotWritten(results).Status)
+// A load order that has waited too long for its connection would count against a later window of the load budget, or come to
+// a worker that may drain by now.
+func TestLoadOrderIsRejectedAfterItsStartByOrLease(t *testing.T) {
+	past, later := time.Now().Add(-time.Millisecond), time.Now().Add(time.Hour)
+	for _, order := range []LoadOrder{{StartBy: past, LeaseEnd: later}, {StartBy: later, LeaseEnd: past}} {
+		f := newPoolFixture(t, time.Minute)
+		results := make(chan Result, 1)
+		order.Function, order.Copies, order.Deadline = testFunction, 1, later
+		_, err := f.pool.Load(order, func(r Result) { results <- r })
+		require.NoError(t, err)
+		assert.Equal(t, balancer.Rejected, f.requireNextNotWritten(results).Status)
+	}
 }
 
 // A call of which not all was written never ran: it goes to another connection, and no attempt is lost.
--- a/internal/worker/connread.go
+++ b/internal/worker/connread.go
@@ -46,18 +46,19 @@
 // copy, or was never asked for. An error means that the connection cannot be used any more.
 func (c *conn) handleAnswer(answer frame) error {
 	result, err := answer.result()
-	request := c.noteAnswer(answer.id, result.Status, time.Now())
+	request, writtenAt := c.noteAnswer(answer.id, result.Status, time.Now())
 	if err != nil {
 		return err
 	}
+	result.WrittenAt = writtenAt
 	if request != nil && answer.code != codePong {
 		c.finish(request, result)
 	}
 	return nil
 }
 
-// noteAnswer notes that the worker has answered and returns the request in flight under the id, or nil.
-func (c *conn) noteAnswer(id uint64, status balancer.Status, now time.Time) *PendingRequest {
+// noteAnswer notes that the worker has answered and returns the request in flight under the id, or nil, and when it was written.
+func (c *conn) noteAnswer(id uint64, status balancer.Status, now time.Time) (answered *PendingRequest, writtenAt time.Time) {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	c.pool.lastAnswer = now
@@ -67,5 +68,8 @@
 	if request != nil && status != balancer.OK { // the call may be tried here again, and this answer be repeated
 		c.endedIDs[id] = now
 	}
-	return request
+	if request == nil {
+		return nil, time.Time{}
+	}
+	return request, request.writtenAt
 }
--- a/internal/worker/fixture_test.go
+++ b/internal/worker/fixture_test.go
@@ -80,6 +80,9 @@
 	if attempt.Deadline.IsZero() {
 		attempt.Deadline = time.Now().Add(time.Hour)
 	}
+	if attempt.LeaseEnd.IsZero() {
+		attempt.LeaseEnd = time.Now().Add(time.Hour)
+	}
 	request, err := f.pool.Call(attempt, func(r Result) { results <- r })
 	require.NoError(f.t, err)
 	return request, results
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -49,10 +49,9 @@
 	return p.send(newCallRequest(a, done))
 }
 
-// Load orders that the worker hold at least so many copies of a function; 0 copies only asks for their number. The order
-// is not begun after startBy. done and the error are as for Call.
-func (p *Pool) Load(function string, copies int, startBy, deadline time.Time, done func(Result)) (*PendingRequest, error) {
-	return p.send(newLoadRequest(function, copies, startBy, deadline, done))
+// Load sends a load order. done and the error are as for Call.
+func (p *Pool) Load(order LoadOrder, done func(Result)) (*PendingRequest, error) {
+	return p.send(newLoadRequest(order, done))
 }
 
 // Unload has the worker unload the idle copies of a function. There is no answer. An error means that nothing was or will
--- a/internal/worker/pool_test.go
+++ b/internal/worker/pool_test.go
@@ -45,7 +45,7 @@
 func call(t *testing.T, pool *worker.Pool, id uint64, deadline time.Time) (*worker.PendingRequest, chan worker.Result) {
 	t.Helper()
 	results := make(chan worker.Result, 1)
-	attempt := worker.Attempt{ID: id, Class: "reserva", Function: testFunction, Body: []byte("x"), Deadline: deadline}
+	attempt := worker.Attempt{ID: id, Class: "reserva", Function: testFunction, Body: []byte("x"), Deadline: deadline, LeaseEnd: fakes.Deadline()}
 	request, err := pool.Call(attempt, func(r worker.Result) { results <- r })
 	require.NoError(t, err)
 	return request, results
@@ -61,15 +61,20 @@
 	_, drained := call(t, pool, 2, fakes.Deadline())
 	assert.Equal(t, balancer.NotSent, (<-drained).Status)
 	loaded := make(chan worker.Result, 1)
-	_, err := pool.Load(testFunction, 1, fakes.Deadline(), fakes.Deadline(), func(r worker.Result) { loaded <- r })
+	_, err := pool.Load(fakes.LoadOrder(testFunction), func(r worker.Result) { loaded <- r })
 	require.NoError(t, err)
 	assert.Equal(t, balancer.Rejected, (<-loaded).Status)
 	pool.MarkReady(time.Time{})
+	begin := time.Now()
 	_, rejected := call(t, pool, 3, fakes.Deadline())
 	received := w.Next()
 	assert.Equal(t, uint64(3), received.ID, "the others were written")
+	written := time.Now()
 	received.Answer(codeRejected, "same=5", "")
-	assert.Equal(t, worker.Result{Status: balancer.Rejected, QueueDepth: 5, Body: []byte{}}, <-rejected)
+	result := <-rejected
+	assert.WithinRange(t, result.WrittenAt, begin, written)
+	result.WrittenAt = time.Time{}
+	assert.Equal(t, worker.Result{Status: balancer.Rejected, QueueDepth: 5, Body: []byte{}}, result)
 }
 
 func TestRefusedConnectionEndsCallAsConnectFailed(t *testing.T) {
@@ -136,7 +141,7 @@
 	config := fakes.PoolConfig()
 	removed := worker.NewPool("s-1", w.Addr, &config)
 	removed.MarkUnavailable(permit.WorkerIsRemoved)
-	attempt := worker.Attempt{ID: 1, Class: "reserva", Function: "aa", Deadline: fakes.Deadline()}
+	attempt := worker.Attempt{ID: 1, Class: "reserva", Function: "aa", Deadline: fakes.Deadline(), LeaseEnd: fakes.Deadline()}
 	_, err := removed.Call(attempt, func(worker.Result) {})
 	assert.Error(t, err)
 	successor := worker.NewPool("s-2", w.Addr, &config)
--- a/internal/worker/request.go
+++ b/internal/worker/request.go
@@ -15,6 +15,7 @@
 	QueueDepth int // calls for the same function at the worker when this one came
 	Copies     int // loaded copies; load orders only
 	Body       []byte
+	WrittenAt  time.Time // when its first byte was written on the connection of the answer; zero: it was not, or there is no answer
 }
 
 // Attempt is one attempt of a call at a worker.
@@ -24,11 +25,21 @@
 	Body            []byte
 	Deadline        time.Time // nobody waits for its answer after this
 	StartBy         time.Time // it must not be written after this; zero: until Deadline
+	LeaseEnd        time.Time // nor after this, when the lease of the worker ends
 	// Abandoned reports that the call is over and that nothing of it may begin any more. It is called with locks held and
 	// from any goroutine, so it must not block. Nil: the call is never abandoned.
 	Abandoned func() bool
 }
 
+// LoadOrder orders that a worker hold at least so many copies of a function.
+type LoadOrder struct {
+	Function string
+	Copies   int       // 0 only asks for their number
+	StartBy  time.Time // it must not be written after this
+	LeaseEnd time.Time // nor after this, when the lease of the worker ends
+	Deadline time.Time // nobody waits for its answer after this
+}
+
 // startBy is the latest time at which the attempt may be written.
 func (a *Attempt) startBy() time.Time {
 	if !a.StartBy.IsZero() && a.StartBy.Before(a.Deadline) {
@@ -54,6 +65,7 @@
 	body         []byte
 	deadline     time.Time    // nobody waits for its answer after this
 	startBy      time.Time    // its frame must not be begun after this
+	leaseEnd     time.Time    // nor after this, when the lease of the worker ends
 	abandoned    func() bool  // nor once this returns true; nil: never
 	done         func(Result) // called from a goroutine of the pool; nil: the command has no answer
 
@@ -74,24 +86,26 @@
 		body:      a.Body,
 		deadline:  a.Deadline,
 		startBy:   a.startBy(),
+		leaseEnd:  a.LeaseEnd,
 		abandoned: a.Abandoned,
 		done:      done,
 	}
 }
 
-func newLoadRequest(function string, copies int, startBy, deadline time.Time, done func(Result)) *PendingRequest {
+func newLoadRequest(order LoadOrder, done func(Result)) *PendingRequest {
 	return &PendingRequest{
 		id:           rand.Uint64(),
 		code:         codeLoad,
-		encodeFields: func(time.Time) string { return loadFields(function, copies) },
-		deadline:     deadline,
-		startBy:      startBy,
+		encodeFields: func(time.Time) string { return loadFields(order.Function, order.Copies) },
+		deadline:     order.Deadline,
+		startBy:      order.StartBy,
+		leaseEnd:     order.LeaseEnd,
 		done:         done,
 	}
 }
 
 func newUnloadRequest(id uint64, deadline time.Time) *PendingRequest {
-	return &PendingRequest{id: id, code: codeUnload, deadline: deadline, startBy: deadline}
+	return &PendingRequest{id: id, code: codeUnload, deadline: deadline, startBy: deadline, leaseEnd: deadline}
 }
 
 // encode returns the bytes of the request's frame as written at a time.
@@ -114,6 +128,7 @@
 		Worker:     state,
 		ClientGone: r.abandoned != nil && r.abandoned(),
 		TimeLeft:   r.startBy.Sub(now),
+		LeaseLeft:  r.leaseEnd.Sub(now),
 	}
 	return start.Check()
 }
