--- a/internal/frontend/resp/drain_test.go
+++ b/internal/frontend/resp/drain_test.go
@@ -143,3 +143,18 @@
 	assert.Equal(t, "1 ok  done", busy.receive())
 	busy.requireOpen()
 }
+
+// A connection that is made when all others have to be gone is not closed under its request: what is read is answered, on new
+// connections too (incident 2, found when the change was read again).
+func TestRequestOnANewConnectionIsAnsweredAfterTheEnd(t *testing.T) {
+	server, connect := startDraining(t, drain.Schedule{AnswerBy: time.Second, CloseBy: 6 * time.Second}, fakes.NewWorker(t))
+	server.DrainState.Evacuate(time.Now().Add(-time.Minute))
+	late := connect()
+	encoded := encodeCommand("CHECK", "1", "")
+	late.sendRaw(encoded[:9])
+	require.Eventually(t, func() bool { return server.IncompleteRequests() == 1 }, 10*time.Second, time.Millisecond)
+	late.requireOpen()
+	late.sendRaw(encoded[9:])
+	assert.Equal(t, "1 no  ", late.receive())
+	late.requireClosed()
+}
