Give a connection that is made after an evacuation's end time for its answer

drain.Schedule.Judge is told when a connection was accepted: one that comes after AnswerBy has as long for itself as lies between AnswerBy and CloseBy, is closed as soon as its answer is written, and not before. The bound for all others stays.

--- a/internal/drain/schedule.go
+++ b/internal/drain/schedule.go
@@ -20,7 +20,8 @@
 	// KeepUnusedSince spares connections at AnswerBy on which no request came after this: they end after their
 	// last answer. With 0 none is spared.
 	KeepUnusedSince time.Duration
-	// CloseBy is when the last connection is closed that is not spared.
+	// CloseBy is when the last connection is closed that is not spared. One that is made later has as long for
+	// itself as there is from AnswerBy to CloseBy.
 	CloseBy time.Duration
 }
 
@@ -84,16 +85,22 @@
 	Close                         // close it, whatever is in use on it
 )
 
-// Judge returns what is to be done with a connection when so much time has passed, where the last request
-// came at lastRequest; negative: before the call.
-func (s Schedule) Judge(elapsed, lastRequest time.Duration) Verdict {
-	spared := s.KeepUnusedSince > 0 && lastRequest < s.KeepUnusedSince
+// Use is when a connection was made, and when the last request came on it: since the call; negative: before.
+type Use struct {
+	Accepted    time.Duration
+	LastRequest time.Duration // Accepted, where none has come
+}
+
+// Judge returns what is to be done with a connection when so much time has passed.
+func (s Schedule) Judge(elapsed time.Duration, use Use) Verdict {
+	spared := s.KeepUnusedSince > 0 && use.LastRequest < s.KeepUnusedSince
+	closeBy := max(s.CloseBy, use.Accepted+s.CloseBy-s.AnswerBy)
 	switch {
 	case elapsed < s.Linger:
 		return Keep
 	case spared || elapsed < s.AnswerBy:
 		return CloseIfIdle
-	case elapsed < s.CloseBy:
+	case elapsed < closeBy:
 		return AnswerAndClose
 	default:
 		return Close
--- a/internal/drain/state.go
+++ b/internal/drain/state.go
@@ -106,11 +106,13 @@
 	return true
 }
 
-// Judge returns what is to be done now with a connection on which the last request came at a time.
-func (s *State) Judge(now, lastRequest time.Time) Verdict {
+// Judge returns what is to be done now with a connection that was made at a time, and on which the last request
+// came at another.
+func (s *State) Judge(now, accepted, lastRequest time.Time) Verdict {
 	verdict := Keep
 	for _, schedule := range s.current.Load().underWay {
-		verdict = max(verdict, schedule.Judge(now.Sub(schedule.begun), lastRequest.Sub(schedule.begun)))
+		use := Use{Accepted: accepted.Sub(schedule.begun), LastRequest: lastRequest.Sub(schedule.begun)}
+		verdict = max(verdict, schedule.Judge(now.Sub(schedule.begun), use))
 	}
 	return verdict
 }
--- a/internal/frontend/resp/drain.go
+++ b/internal/frontend/resp/drain.go
@@ -50,7 +50,7 @@
 	if client != nil {
 		lastRequest, open = client.requestsInUse()
 	}
-	switch s.DrainState.Judge(now, lastRequest) {
+	switch s.DrainState.Judge(now, conn.acceptedAt, lastRequest) {
 	case drain.Keep:
 	case drain.CloseIfIdle:
 		conn.closeIfIdle(closedWhenDraining)
@@ -77,7 +77,7 @@
 // closeIfDraining closes the connection if it is idle and clients are being sent away.
 func (c *clientConn) closeIfDraining() {
 	now := time.Now()
-	if c.server.DrainState.Judge(now, now) != drain.Keep {
+	if c.server.DrainState.Judge(now, now, now) != drain.Keep {
 		c.closeIfIdle(closedWhenDraining)
 	}
 }
