Take a worker that returns while discovery is silent for a cold one

Connection pools tell the event loop when nothing listens at a worker's address or its last connection was closed there; once the news is older than 3 s the balancer takes such a worker for cold from its first contact on (slow start, no copies), until news comes that does not tell of a restart. With news at hand a broken connection says nothing, as before.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -24,6 +24,7 @@
 	ready     []*worker // sorted by ID
 	changes   listChanges
 	leases    leases
+	restarts  restarts
 	ranked    []rankedWorker // for makeOrder
 	unknown   placement      // for look
 	meanLoad  float64        // of the ready workers
@@ -94,6 +95,8 @@
 		b.onEndpoints(e)
 	case NewsEvent:
 		b.onNews(e)
+	case PeerGoneEvent:
+		b.onPeerGone(e)
 	case RequestEvent:
 		b.onRequest(e)
 	case OutcomeEvent:
--- a/internal/balancer/doc.go
+++ b/internal/balancer/doc.go
@@ -18,6 +18,7 @@
 //   - outcome.go: what the end of an attempt teaches
 //   - starttimes.go: when workers started, by what the endpoint list tells
 //   - leases.go: when what is known of a worker is too old to be relied on
+//   - restarts.go: workers that may have restarted while discovery is silent
 //   - outlier.go: ejection of workers that fail, lag, reject or keep silent
 //   - zone.go: zones that cannot be reached
 //
--- a/internal/balancer/events.go
+++ b/internal/balancer/events.go
@@ -63,6 +63,9 @@
 // NewsEvent means that everything was told that discovery knew at a time.
 type NewsEvent struct{ AsOf time.Duration }
 
+// PeerGoneEvent means that nothing listens at a worker's address, or that its last connection was closed there.
+type PeerGoneEvent struct{ Worker WorkerID }
+
 // RequestEvent hands over a request. It gets exactly one final answer.
 type RequestEvent struct {
 	ID           RequestID
@@ -143,6 +146,7 @@
 
 func (EndpointsEvent) event()     {}
 func (NewsEvent) event()          {}
+func (PeerGoneEvent) event()      {}
 func (RequestEvent) event()       {}
 func (OutcomeEvent) event()       {}
 func (StreamStartedEvent) event() {}
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -72,6 +72,7 @@
 	for _, f := range b.functions {
 		delete(f.placements, id)
 	}
+	b.restarts.gone = remove(b.restarts.gone, b.workers[id])
 	delete(b.workers, id)
 }
 
--- a/internal/balancer/leases.go
+++ b/internal/balancer/leases.go
@@ -32,6 +32,7 @@
 // onNews notes that everything was told that discovery knew at a time, which renews leases.
 func (b *Balancer) onNews(e NewsEvent) {
 	b.leases.newsAsOf = max(b.leases.newsAsOf, e.AsOf)
+	b.forgetRestarts(e.AsOf)
 	if b.leases.lapsed > 0 {
 		b.reviewLeases()
 	}
--- /dev/null
+++ b/internal/balancer/restarts.go
@@ -0,0 +1,67 @@
+package balancer
+
+import "time"
+
+// staleNews is the age of the news from which on the endpoint list is not relied on to tell of a restart.
+const staleNews = 3 * time.Second
+
+// restarts is the workers whose processes seem to have ended since the last news. While discovery is silent
+// nobody tells that they have started again, and that they are cold; it counts as told all the same.
+type restarts struct {
+	gone []*worker // those with a goneAt
+}
+
+// onPeerGone notes that nothing listens at a worker's address, or that its last connection was closed there.
+func (b *Balancer) onPeerGone(e PeerGoneEvent) {
+	w := b.workers[e.Worker]
+	if w == nil || !b.settings.EndpointLeases {
+		return
+	}
+	if w.goneAt == 0 {
+		b.restarts.gone = append(b.restarts.gone, w)
+	}
+	w.goneAt = b.now
+	w.assumedCold = false
+	b.assumeRestarts()
+}
+
+// assumeRestarts takes workers that were gone since the last news for cold, as if they started now.
+func (b *Balancer) assumeRestarts() {
+	if b.now-b.leases.newsAsOf < staleNews {
+		return
+	}
+	for _, w := range b.restarts.gone {
+		if !w.assumedCold {
+			w.assumedCold = true
+			w.slowStart = slowStart{startedAt: b.now, active: true}
+			b.unloadAll(w)
+		}
+	}
+}
+
+// noteFirstContact moves the assumed start of a worker to when it was first reached again: it may have started
+// at any time before.
+func (b *Balancer) noteFirstContact(a *attempt) {
+	w := a.worker
+	if w.assumedCold && w.slowStart.startedAt <= w.goneAt && a.sentAt > w.goneAt {
+		w.slowStart.startedAt = a.sentAt
+	}
+}
+
+// forgetRestarts ends what was assumed of workers, since the list tells of restarts again. Those that it has told
+// of are warming up by its word.
+func (b *Balancer) forgetRestarts(newsAsOf time.Duration) {
+	var later []*worker
+	for _, w := range b.restarts.gone {
+		if w.goneAt >= newsAsOf {
+			later = append(later, w)
+			continue
+		}
+		if w.assumedCold {
+			w.slowStart.active = false
+		}
+		w.goneAt = 0
+		w.assumedCold = false
+	}
+	b.restarts.gone = later
+}
--- a/internal/balancer/sweep.go
+++ b/internal/balancer/sweep.go
@@ -18,6 +18,7 @@
 		b.updateHotSet()
 	}
 	b.checkLeases()
+	b.assumeRestarts()
 	b.checkWorkers()
 	var waiting []*request
 	for _, r := range slices.Clone(b.unanswered) {
--- a/internal/balancer/worker.go
+++ b/internal/balancer/worker.go
@@ -13,9 +13,11 @@
 	fullWeight   float64 // Worker.Weight, or the largest seen where weights are live
 	hash         uint64  // of the ID
 	lease        permit.Lease
-	listed       bool    // it is among the ready workers: the list calls it ready, and its lease is live
-	listedWeight float64 // fullWeight when the list last changed it
-	hotCalls     float64 // its part of this dispatcher's calls of hot functions
+	goneAt       time.Duration // when its process seemed to have ended, and no news has come since; 0: it did not
+	assumedCold  bool          // it is taken for cold since then, though the list has not told of a restart
+	listed       bool          // it is among the ready workers: the list calls it ready, and its lease is live
+	listedWeight float64       // fullWeight when the list last changed it
+	hotCalls     float64       // its part of this dispatcher's calls of hot functions
 	removedAt    time.Duration
 	outstanding  []*attempt // pending attempts, oldest first
 	slowStart    slowStart
@@ -58,6 +60,7 @@
 // restart resets what a fresh start makes obsolete.
 func (w *worker) restart(window float64) {
 	w.slowStart = slowStart{startedAt: w.Started, active: true}
+	w.assumedCold = false
 	w.ejection.active = false
 	w.window.size = window
 	w.latency = newLatencyHistory()
--- a/internal/balancer/zone.go
+++ b/internal/balancer/zone.go
@@ -8,6 +8,7 @@
 	w := a.worker
 	switch e.Status {
 	case OK, Rejected, Miss:
+		b.noteFirstContact(a)
 		b.earnLoads(a.request)
 		b.markHealthy(w)
 	case Failed: // an error, but a sign of life
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Core{
+	c := &Core{
 		config:     config,
 		queue:      make(chan queuedEvent, queueSize),
 		stop:       make(chan struct{}),
@@ -89,7 +89,9 @@
 		endpoints:  map[balancer.WorkerID]*endpoint{},
 		removed:    map[balancer.WorkerID]bool{},
 		loads:      map[loadKey]*loadOrder{},
-	}, nil
+	}
+	c.config.Pool.PeerGone = func(uid string) { c.post(peerGone{worker: balancer.WorkerID(uid)}) }
+	return c, nil
 }
 
 // EndpointsKnown reports whether a list of workers has been taken in.
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -41,6 +41,8 @@
 	}
 	// endpointsUpdated brings an endpoint list or a change of it.
 	endpointsUpdated struct{ update discovery.Update }
+	// peerGone means that the process of a worker may have ended.
+	peerGone struct{ worker balancer.WorkerID }
 	// endpointsConfirmed means that the updates so far were all that discovery knew at a time.
 	endpointsConfirmed struct{ asOf time.Time }
 )
@@ -64,6 +66,7 @@
 func (loadEnded) dispatchEvent()          {}
 func (endpointsUpdated) dispatchEvent()   {}
 func (endpointsConfirmed) dispatchEvent() {}
+func (peerGone) dispatchEvent()           {}
 func (answerOverdue) dispatchEvent()      {}
 func (attemptTimedOut) dispatchEvent()    {}
 func (loadTimedOut) dispatchEvent()       {}
@@ -126,6 +129,8 @@
 		c.endLoad(e.order, e.result)
 	case endpointsUpdated:
 		c.updateEndpoints(e.update)
+	case peerGone:
+		c.notifyBalancer(balancer.PeerGoneEvent{Worker: e.worker})
 	case endpointsConfirmed:
 		c.confirmEndpoints(e.asOf)
 	case answerOverdue:
--- a/internal/worker/config.go
+++ b/internal/worker/config.go
@@ -24,6 +24,9 @@
 	MaxConns    int           // connections to one worker
 	ConnLimit   *ConnLimit    // on connections to all workers
 	BreakRate   *BreakRate    // of connections to all workers; nil: requests never share a connection needlessly
+	// PeerGone is told the uid of a worker at whose address nothing listens, or whose last connection was closed there: its
+	// process may have ended. It is called from any goroutine, without locks held; nil: nobody is told.
+	PeerGone func(uid string)
 }
 
 // idleCloseAfter is how long a connection may be idle before the dispatcher closes it.
--- a/internal/worker/conn.go
+++ b/internal/worker/conn.go
@@ -204,9 +204,13 @@
 	if established && !alreadyClosed && len(c.inFlight) > 0 { // closed by the worker or the network
 		c.pool.config.BreakRate.recordBroken()
 	}
+	peerGone := !alreadyClosed && c.peerGoneLocked(cause)
 	c.closeLocked()
 	unwritten, written := c.takeInFlightLocked(partial)
 	c.pool.mu.Unlock()
+	if peerGone && c.pool.config.PeerGone != nil {
+		c.pool.config.PeerGone(c.pool.uid)
+	}
 
 	for _, request := range written {
 		c.finish(request, Result{Status: balancer.Reset})
@@ -222,6 +226,18 @@
 	}
 }
 
+// peerGoneLocked reports whether the end of the connection may be that of the worker's process.
+func (c *conn) peerGoneLocked(cause error) bool {
+	switch reasonOf(cause) {
+	case closedRefused:
+		return true
+	case closedByWorker, closedReset:
+		return len(c.pool.conns) <= 1 // it is the last one
+	default:
+		return false
+	}
+}
+
 // logsEndLocked reports whether the end of the connection is worth a log line: it never came up, or the worker is at
 // fault.
 func (c *conn) logsEndLocked(cause error) bool {
--- a/internal/worker/pool_test.go
+++ b/internal/worker/pool_test.go
@@ -86,6 +86,29 @@
 	assert.Equal(t, balancer.ConnectFailed, (<-results).Status)
 }
 
+// Whoever follows a worker is told when its process may have ended: nothing listens, or its last connection is closed there.
+func TestEndOfAWorkersProcessIsTold(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	gone := make(chan string, 4)
+	config := fakes.PoolConfig()
+	config.PeerGone = func(uid string) { gone <- uid }
+	pool := worker.NewPool("s-1", listener.Addr().String(), &config)
+	_, results := call(t, pool, 1, fakes.Deadline())
+	accepted, err := listener.Accept()
+	require.NoError(t, err)
+	assert.Empty(t, gone)
+	accepted.Close()
+	assert.Equal(t, balancer.Reset, (<-results).Status)
+	assert.Equal(t, "s-1", <-gone)
+	listener.Close()
+	_, results = call(t, pool, 2, fakes.Deadline())
+	assert.Equal(t, balancer.ConnectFailed, (<-results).Status)
+	assert.Equal(t, "s-1", <-gone)
+	pool.Close()
+	assert.Empty(t, gone, "closed here")
+}
+
 // The id of a cancelled call stays off its connection: its late answer would pass for that of the new call.
 func TestCancelledIDTakesAnotherConnection(t *testing.T) {
 	w := fakes.NewWorker(t)
