Let a kept connection's identity end with its SVID; let pauses between failed polls grow

Polls that fail pause 50 to 400 ms, with a part drawn by lot, since a whole fleet polls a server that comes back: at 20 polls a second each before.

--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -27,8 +28,12 @@
 	// pollTimeout is how long a poll may take before it has failed.
 	pollTimeout = pollWait + 400*time.Millisecond
 
-	// pollBackoff is the pause after a poll that failed or was answered early without new events.
-	pollBackoff = 50 * time.Millisecond
+	// pollBackoff is the pause after a poll that failed or was answered early without new events, and maxPollBackoff what it
+	// grows to while that goes on. It is short, since news must be had long before what is believed expires; pollJitter is the
+	// part of it that is drawn, lest a fleet polls at the same moment when the server is back.
+	pollBackoff    = 50 * time.Millisecond
+	maxPollBackoff = 400 * time.Millisecond
+	pollJitter     = 0.3
 
 	// earlyAnswer bounds the time within which an answer without new events counts as early.
 	earlyAnswer = pollWait / 2
@@ -105,21 +110,31 @@
 
 // Run polls the server until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
+	pause := pollBackoff
 	for ctx.Err() == nil {
 		addr, addrChanged := w.address()
 		err := w.poll(ctx, addr, addrChanged)
 		if isClosed(addrChanged) {
+			pause = pollBackoff
 			continue // the new server is polled at once, and how the poll of the old one ended says nothing
 		}
 		if ctx.Err() == nil {
 			w.noteOutcome(err)
 		}
-		if err != nil {
-			backOff(ctx, addrChanged)
+		if err == nil {
+			pause = pollBackoff
+			continue
 		}
+		backOff(ctx, addrChanged, jittered(pause))
+		pause = min(2*pause, maxPollBackoff)
 	}
 }
 
+// jittered draws a pause of at least the one given.
+func jittered(pause time.Duration) time.Duration {
+	return pause + time.Duration(pollJitter*rand.Float64()*float64(pause))
+}
+
 // noteOutcome logs when polls begin to fail, and when they succeed again.
 func (w *Watcher) noteOutcome(err error) {
 	failed := err != nil
@@ -134,10 +149,10 @@
 	}
 }
 
-// backOff waits for pollBackoff, or until the address changes or ctx ends.
-func backOff(ctx context.Context, addrChanged <-chan struct{}) {
+// backOff waits for a time, or until the address changes or ctx ends.
+func backOff(ctx context.Context, addrChanged <-chan struct{}, pause time.Duration) {
 	select {
-	case <-time.After(pollBackoff):
+	case <-time.After(pause):
 	case <-addrChanged:
 	case <-ctx.Done():
 	}
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -215,3 +215,25 @@
 		})
 	}
 }
+
+// While polls fail the pauses between them grow up to a bound, so that a fleet does not wear down a server that comes back.
+func TestPausesGrowWhilePollsFail(t *testing.T) {
+	const polls = 6
+	ctx, cancel := context.WithCancel(context.Background())
+	var polledAt []time.Time
+	server := newServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		polledAt = append(polledAt, time.Now())
+		w.WriteHeader(http.StatusServiceUnavailable)
+		if len(polledAt) == polls {
+			cancel()
+		}
+	})
+	watcher, _ := newSeededWatcher(t, server)
+	watcher.Run(ctx)
+	require.Len(t, polledAt, polls)
+	for i, least := range []time.Duration{50, 100, 200, 400, 400} {
+		pause := polledAt[i+1].Sub(polledAt[i])
+		assert.GreaterOrEqual(t, pause, least*time.Millisecond)
+		assert.Less(t, pause, 2*least*time.Millisecond+time.Second)
+	}
+}
--- a/internal/frontend/invoke/identity.go
+++ b/internal/frontend/invoke/identity.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/spiffe/go-spiffe/v2/bundle/x509bundle"
 	"github.com/spiffe/go-spiffe/v2/svid/x509svid"
@@ -23,12 +24,20 @@
 	return workloadapi.NewX509Source(ctx, workloadapi.WithClientOptions(workloadapi.WithAddr(addr)))
 }
 
-// tenantOf returns the tenant to whom the client's SPIFFE ID belongs. The TLS handshake has verified its SVID.
+// errExpired means that a client's SVID has expired since its connection was made.
+var errExpired = errors.New("SVID has expired")
+
+// tenantOf returns the tenant to whom the client's SPIFFE ID belongs. The TLS handshake has verified its SVID, which may have
+// expired since: a connection may be kept for any time.
 func (c *Config) tenantOf(r *http.Request) (string, error) {
 	if r.TLS == nil || len(r.TLS.PeerCertificates) == 0 {
 		return "", errors.New("no peer certificate")
 	}
-	id, err := x509svid.IDFromCert(r.TLS.PeerCertificates[0])
+	certificate := r.TLS.PeerCertificates[0]
+	if time.Now().After(certificate.NotAfter) {
+		return "", errExpired
+	}
+	id, err := x509svid.IDFromCert(certificate)
 	if err != nil {
 		return "", err
 	}
--- a/internal/frontend/invoke/routes.go
+++ b/internal/frontend/invoke/routes.go
@@ -1,6 +1,7 @@
 package invoke
 
 import (
+	"errors"
 	"log/slog"
 	"maps"
 	"net/http"
@@ -52,6 +53,9 @@
 		tenant, err := s.config.tenantOf(r)
 		if err != nil {
 			s.forbiddenLog.Log(slog.LevelWarn, "invoke: request forbidden", "addr", r.RemoteAddr, "err", err)
+			if errors.Is(err, errExpired) {
+				w.Header().Set("Connection", "close") // the client comes back with its present one
+			}
 			forbidden().write(w)
 			return
 		}
