--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -7,6 +7,9 @@
 	"kitefall/internal/wallstep"
 )
 
+// downTime is how long nothing listens at a worker's address between two processes.
+const downTime = 600 * time.Millisecond
+
 // count notes a fault that was injected.
 func (f *Fleet) count(kind FaultKind) {
 	f.mu.Lock()
@@ -128,6 +131,25 @@
 	return nil
 }
 
+// CycleWorker drains a worker, ends it after a time, and starts it again, cold.
+func (f *Fleet) CycleWorker(number int, drainFor time.Duration) error {
+	f.DrainWorker(number)
+	time.Sleep(drainFor)
+	f.RemoveWorker(number)
+	time.Sleep(downTime)
+	return f.ReturnWorker(number)
+}
+
+// SucceedWorker drains a worker, ends it after a time, and starts a spare at its address.
+func (f *Fleet) SucceedWorker(number, spare int, drainFor time.Duration) error {
+	f.DrainWorker(number)
+	time.Sleep(drainFor)
+	f.RemoveWorker(number)
+	time.Sleep(downTime)
+	f.workers[spare].takeAddresses(f.workers[number])
+	return f.ReturnWorker(spare)
+}
+
 // HangWorker has a worker run and answer nothing for a time; its connections stay open and silent.
 func (f *Fleet) HangWorker(number int, length time.Duration) {
 	w := f.workers[number]
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -25,6 +25,7 @@
 	RuleFrame     Rule = "frame"     // workers can read what they are sent
 	RuleEvacuate  Rule = "evacuate"  // clients are sent away in time, and taken again
 	RuleLimits    Rule = "limits"    // no more descriptors and memory than allowed
+	RuleServe     Rule = "serve"     // the fleet serves on while discovery tells nothing
 )
 
 // Slack of the rules.
@@ -59,7 +60,7 @@
 	var violations []Violation
 	for _, check := range []func(*History) []Violation{
 		checkLoads, checkDuplicates, checkDrains, checkLost, checkGone, checkDeadlines, checkSlowStart, checkCrashes,
-		checkFrames, checkEvacuations, checkLimits,
+		checkFrames, checkEvacuations, checkLimits, checkServing,
 	} {
 		violations = append(violations, check(h)...)
 	}
@@ -191,5 +192,12 @@
 	for _, e := range h.Workers {
 		counts["worker:"+string(e.Kind)]++
 	}
+	for _, o := range h.Outages {
+		length := "up to 8 s"
+		if o.End-o.Begin > notifiedAfter+time.Second {
+			length = "over 8 s"
+		}
+		counts[fmt.Sprintf("outage %s, %s", o.Kind, length)]++
+	}
 	return counts
 }
--- a/internal/soak/player.go
+++ b/internal/soak/player.go
@@ -10,6 +10,8 @@
 func Run(program, folder string, plan Plan) (*History, error) {
 	config := Config{Program: program, Folder: folder, Dispatchers: plan.Dispatchers, Workers: plan.Workers,
 		Members: plan.Members, Limits: plan.Limits, Deadline: plan.Deadline, Spares: maxSpares, Seed: plan.Seed, Rules: DefaultRules(), Worker: DefaultWorker(), Steps: plan.Steps}
+	config.Rules.DrainGrace = plan.Grace
+	config.Rules.WarmAfter = plan.WarmAfter
 	config.Worker.ErrorRate = 0.01
 	f, err := Start(config)
 	if err != nil {
@@ -92,27 +94,33 @@
 		}
 		defer p.release(process)
 		p.injectDispatcher(fault)
-	case FaultCrashWorker, FaultHangWorker, FaultFreezeWorker, FaultReset:
+	case FaultCrashWorker, FaultHangWorker, FaultFreezeWorker, FaultReset, FaultDrainWorker:
 		process := fmt.Sprint("worker ", fault.Target)
 		if !p.take(process) {
 			return
 		}
 		defer p.release(process)
 		p.injectWorker(fault)
-	case FaultReplaceWorker:
+	case FaultReplaceWorker, FaultReuseAddress:
 		if !p.replaceWorker(fault) {
 			return
 		}
 	case FaultFlush:
 		f.FlushWorkers()
 	case FaultOutage:
-		p.noteError(f.BreakDiscovery(fault.Outage, f.allDispatchers(), fault.Length))
+		p.noteError(f.BreakDiscovery(fault.Outage, p.hitBy(fault), fault.Length))
 	case FaultCrowd:
 		f.CrowdDispatcher(fault.Target, fault.Length)
 	case FaultNewFunctions:
 		load := p.plan.Load
 		load.FirstFunction = int(fault.At / time.Millisecond)
 		f.SetLoad(load)
+	case FaultQuiet:
+		load := p.plan.Load
+		load.Rate = 0
+		f.SetLoad(load)
+		time.Sleep(fault.Length)
+		f.SetLoad(p.plan.Load)
 	case FaultBurst:
 		load := p.plan.Load
 		load.Rate *= burstFactor
@@ -151,6 +159,8 @@
 		p.fleet.FreezeWorker(fault.Target, fault.Length)
 	case FaultReset:
 		p.fleet.ResetWorker(fault.Target)
+	case FaultDrainWorker:
+		err = p.fleet.CycleWorker(fault.Target, fault.Length)
 	}
 	p.noteError(err)
 }
@@ -166,10 +176,20 @@
 		p.release(process)
 		return false
 	}
-	p.noteError(p.fleet.ReplaceWorker(fault.Target, spare, replacementDrain))
+	if fault.Kind == FaultReuseAddress {
+		p.noteError(p.fleet.SucceedWorker(fault.Target, spare, fault.Length))
+	} else {
+		p.noteError(p.fleet.ReplaceWorker(fault.Target, spare, replacementDrain))
+	}
 	return true
 }
 
+// hitBy returns the dispatchers that an outage hits.
+func (p *player) hitBy(fault Fault) []int {
+	all := p.fleet.allDispatchers()
+	return all[:max(1, int(fault.Share*float64(len(all))))]
+}
+
 func (p *player) noteError(err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -55,7 +55,8 @@
 			plan := RandomPlan(seed, planLength)
 			history, err := Run(program, folder, plan)
 			require.NoError(t, err)
-			t.Logf("%d dispatchers, %d workers: %v", plan.Dispatchers, plan.Workers, Counts(history))
+			t.Logf("%d dispatchers, %d workers: %v, served by what discovery told: %v", plan.Dispatchers,
+				plan.Workers*plan.Members, Counts(history), history.ServedByDiscovery())
 			if violations := Check(history); !assert.Empty(t, violations) {
 				t.Log("plan", plan.Faults, "steps", plan.Steps, "folder", folder)
 				return
--- a/internal/soak/workerhandle.go
+++ b/internal/soak/workerhandle.go
@@ -52,6 +52,13 @@
 	return w
 }
 
+// takeAddresses has the process listen at the addresses of another one, which has ended for good.
+func (w *workerHandle) takeAddresses(other *workerHandle) {
+	for i, m := range w.members {
+		m.number = other.members[i].number
+	}
+}
+
 // memberConfigs returns what the process is told of its workers.
 func (w *workerHandle) memberConfigs() []MemberConfig {
 	var configs []MemberConfig
