--- a/internal/soak/incident3_test.go
+++ b/internal/soak/incident3_test.go
@@ -152,3 +152,31 @@
 		})
 	}
 }
+
+// A worker that drains, ends and is started again while discovery tells nothing counts as told of its drain 7 s after that, and as
+// told of its return 7 s after that: what it serves in between is no proof that it may be used (found by the soak).
+func TestNothingNewToAWorkerWhoseReturnWasNotTold(t *testing.T) {
+	rules := DefaultRules()
+	rules.DrainGrace = outageGrace
+	worker := DefaultWorker()
+	worker.Work = 10 * time.Millisecond
+	worker.KeepAlive = 10 * time.Second
+	f, err := Start(Config{Program: dispatcherProgram(t), Folder: t.TempDir(), Dispatchers: 1, Workers: 4, Seed: 1, Rules: rules,
+		Worker: worker, Deadline: time.Second})
+	require.NoError(t, err)
+	t.Cleanup(f.Close)
+	load := Load{Rate: 160, Functions: 12, MinWait: 500 * time.Millisecond, MaxWait: time.Second}
+	f.StartClients(load)
+	time.Sleep(outageAfter)
+	ended := make(chan error, 1)
+	go func() { ended <- f.BreakDiscovery(OutageRefused, f.allDispatchers(), outageLength) }()
+	time.Sleep(drainAfter)
+	require.NoError(t, f.CycleWorker(0, 3*time.Second))
+	load.Functions, load.FirstFunction = 100, 1000 // loaded nowhere: the worker that is back is as good as the others
+	f.SetLoad(load)
+	require.NoError(t, <-ended)
+	h, err := f.Finish()
+	require.NoError(t, err)
+	t.Log(Counts(h), h.ServedByDiscovery())
+	assert.Empty(t, Check(h))
+}
