Renew a lease by served calls only where one process has been connected without a gap

A pool keeps since when it has had a connection without a gap; all connections of that time lead to one process.

--- a/internal/balancer/actions.go
+++ b/internal/balancer/actions.go
@@ -62,7 +62,7 @@
 	Contested int        // likewise, since it rejects and discovery does not say why
 	Renewed   int
 	Live      int           // of all workers
-	NewsAge   time.Duration // since the last poll was sent that brought news
+	SyncAge   time.Duration // since the poll of the last sync was sent
 }
 
 // Log tells the operators something.
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -93,8 +93,8 @@
 	switch e := e.(type) {
 	case EndpointsEvent:
 		b.onEndpoints(e)
-	case NewsEvent:
-		b.onNews(e)
+	case EndpointsSyncedEvent:
+		b.onEndpointsSynced(e)
 	case PeerGoneEvent:
 		b.onPeerGone(e)
 	case RequestEvent:
--- a/internal/balancer/events.go
+++ b/internal/balancer/events.go
@@ -60,10 +60,11 @@
 	AsOf    time.Duration // when it was so at the latest; with leases only
 }
 
-// NewsEvent means that everything was told that discovery knew at a time.
-type NewsEvent struct{ AsOf time.Duration }
+// EndpointsSyncedEvent means that everything was told that discovery knew at a time.
+type EndpointsSyncedEvent struct{ AsOf time.Duration }
 
-// PeerGoneEvent means that nothing listens at a worker's address, or that its last connection was closed there.
+// PeerGoneEvent means that nothing listens at a worker's address, or that its last connection was closed
+// there.
 type PeerGoneEvent struct{ Worker WorkerID }
 
 // RequestEvent hands over a request. It gets exactly one final answer.
@@ -117,8 +118,11 @@
 	Elapsed    time.Duration
 	Answered   bool // the client has its final answer
 	Warmth     Warmth
-	QueueDepth int           // requests for the same function at the worker when this one came, where reported
-	WrittenAt  time.Duration // when its first byte was written, with leases only; 0: it was not
+	QueueDepth int // requests for the same function at the worker when this one came, where reported
+	// With leases only: when its first byte was written, 0: it was not, and since when there has been a
+	// connection to the worker without a gap.
+	WrittenAt      time.Duration
+	ConnectedSince time.Duration
 }
 
 // StreamStartedEvent means that a stream has begun; the client receives this attempt.
@@ -144,12 +148,12 @@
 // TimerEvent means that the timer of a SetTimer expired.
 type TimerEvent struct{ TimerID int64 }
 
-func (EndpointsEvent) event()     {}
-func (NewsEvent) event()          {}
-func (PeerGoneEvent) event()      {}
-func (RequestEvent) event()       {}
-func (OutcomeEvent) event()       {}
-func (StreamStartedEvent) event() {}
-func (ClientGoneEvent) event()    {}
-func (LoadEndedEvent) event()     {}
-func (TimerEvent) event()         {}
+func (EndpointsEvent) event()       {}
+func (EndpointsSyncedEvent) event() {}
+func (PeerGoneEvent) event()        {}
+func (RequestEvent) event()         {}
+func (OutcomeEvent) event()         {}
+func (StreamStartedEvent) event()   {}
+func (ClientGoneEvent) event()      {}
+func (LoadEndedEvent) event()       {}
+func (TimerEvent) event()           {}
--- a/internal/balancer/leases.go
+++ b/internal/balancer/leases.go
@@ -12,7 +12,7 @@
 // leases is when the leases of the ready workers end, where the settings have them end. A worker without a
 // lease is out of all decisions, like one that drains: of the hot set, of placement and of load orders.
 type leases struct {
-	newsAsOf time.Duration // when the last poll was sent that brought news
+	syncedAt time.Duration // when the poll of the last sync was sent
 	checkAt  time.Duration // no lease of a listed worker ends before
 	lapsed   int           // workers that the list calls ready, without a lease
 }
@@ -22,16 +22,16 @@
 	if !b.settings.EndpointLeases {
 		return 0
 	}
-	return w.lease.End(b.settings.leaseTerms, b.leases.newsAsOf) - LeaseChoiceMargin - b.now
+	return w.lease.End(b.settings.leaseTerms, b.leases.syncedAt) - LeaseChoiceMargin - b.now
 }
 
 // available reports whether a worker takes part in decisions: the list calls it ready, and that is not too
 // old to be relied on.
 func (b *Balancer) available(w *worker) bool { return w.State == Ready && b.leaseLeft(w) >= 0 }
 
-// onNews notes that everything was told that discovery knew at a time, which renews leases.
-func (b *Balancer) onNews(e NewsEvent) {
-	b.leases.newsAsOf = max(b.leases.newsAsOf, e.AsOf)
+// onEndpointsSynced notes that everything was told that discovery knew at a time, which renews leases.
+func (b *Balancer) onEndpointsSynced(e EndpointsSyncedEvent) {
+	b.leases.syncedAt = max(b.leases.syncedAt, e.AsOf)
 	b.forgetRestarts(e.AsOf)
 	if b.leases.lapsed > 0 {
 		b.reviewLeases()
@@ -45,7 +45,7 @@
 	}
 	switch e.Status {
 	case OK:
-		w.lease.Served(e.WrittenAt)
+		w.lease.Served(e.WrittenAt, e.ConnectedSince, b.leases.syncedAt)
 	case Rejected:
 		w.lease.Rejected(e.WrittenAt)
 	default:
@@ -68,7 +68,7 @@
 // reviewLeases brings the ready workers up to date with all leases, and tells what has changed.
 func (b *Balancer) reviewLeases() {
 	var ready, changed []*worker
-	change := LeasesChanged{NewsAge: b.now - b.leases.newsAsOf}
+	change := LeasesChanged{SyncAge: b.now - b.leases.syncedAt}
 	for _, w := range b.workers {
 		if w.State != Ready {
 			continue
@@ -76,7 +76,7 @@
 		ready = append(ready, w)
 		if live := b.available(w); live != w.listed {
 			changed = append(changed, w)
-			change.note(w, live, b.leases.newsAsOf)
+			change.note(w, live, b.leases.syncedAt)
 		}
 	}
 	slices.SortFunc(changed, compareIDs)
@@ -92,7 +92,7 @@
 
 // nextLeaseEnd returns when the first lease of a ready worker ends.
 func (b *Balancer) nextLeaseEnd() time.Duration {
-	next := b.now + b.settings.leaseTerms.News
+	next := b.now + b.settings.leaseTerms.Synced
 	for _, w := range b.ready {
 		next = min(next, b.now+b.leaseLeft(w)+1)
 	}
@@ -100,11 +100,11 @@
 }
 
 // note counts a worker whose lease has ended or is live again.
-func (c *LeasesChanged) note(w *worker, live bool, newsAsOf time.Duration) {
+func (c *LeasesChanged) note(w *worker, live bool, syncedAt time.Duration) {
 	switch {
 	case live:
 		c.Renewed++
-	case w.lease.Contested(newsAsOf):
+	case w.lease.Contested(syncedAt):
 		c.Contested++
 	default:
 		c.Ended++
--- a/internal/balancer/restarts.go
+++ b/internal/balancer/restarts.go
@@ -2,10 +2,11 @@
 
 import "time"
 
-// staleNews is the age of the news from which on the endpoint list is not relied on to tell of a restart.
-const staleNews = 3 * time.Second
+// staleSync is the age of the last sync from which on the endpoint list is not relied on to tell of a
+// restart.
+const staleSync = 3 * time.Second
 
-// restarts is the workers whose processes seem to have ended since the last news. While discovery is silent
+// restarts is the workers whose processes seem to have ended since the last sync. While discovery is silent
 // nobody tells that they have started again, and that they are cold; it counts as told all the same.
 type restarts struct {
 	gone []*worker // those with a goneAt
@@ -25,9 +26,9 @@
 	b.assumeRestarts()
 }
 
-// assumeRestarts takes workers that were gone since the last news for cold, as if they started now.
+// assumeRestarts takes workers that were gone since the last sync for cold, as if they started now.
 func (b *Balancer) assumeRestarts() {
-	if b.now-b.leases.newsAsOf < staleNews {
+	if b.now-b.leases.syncedAt < staleSync {
 		return
 	}
 	for _, w := range b.restarts.gone {
@@ -39,8 +40,8 @@
 	}
 }
 
-// noteFirstContact moves the assumed start of a worker to when it was first reached again: it may have started
-// at any time before.
+// noteFirstContact moves the assumed start of a worker to when it was first reached again: it may have
+// started at any time before.
 func (b *Balancer) noteFirstContact(a *attempt) {
 	w := a.worker
 	if w.assumedCold && w.slowStart.startedAt <= w.goneAt && a.sentAt > w.goneAt {
@@ -48,12 +49,12 @@
 	}
 }
 
-// forgetRestarts ends what was assumed of workers, since the list tells of restarts again. Those that it has told
-// of are warming up by its word.
-func (b *Balancer) forgetRestarts(newsAsOf time.Duration) {
+// forgetRestarts ends what was assumed of workers, since the list tells of restarts again. Those that it has
+// told of are warming up by its word.
+func (b *Balancer) forgetRestarts(syncedAt time.Duration) {
 	var later []*worker
 	for _, w := range b.restarts.gone {
-		if w.goneAt >= newsAsOf {
+		if w.goneAt >= syncedAt {
 			later = append(later, w)
 			continue
 		}
--- a/internal/balancer/settings.go
+++ b/internal/balancer/settings.go
@@ -83,7 +83,8 @@
 	PollTimeout   time.Duration // with PollEndpoints: longest silence before the list counts as known
 	LiveWeights   bool          // Worker.Weight falls with the worker's load
 	DialTimeout   time.Duration
-	// EndpointLeases has what the list says of a worker expire, see permit.Lease. NewsEvents have to come.
+	// EndpointLeases has what the list says of a worker expire, see permit.Lease. EndpointsSyncedEvent have
+	// to come.
 	EndpointLeases bool
 	leaseTerms     permit.LeaseTerms
 
--- a/internal/balancer/worker.go
+++ b/internal/balancer/worker.go
@@ -13,7 +13,7 @@
 	fullWeight   float64 // Worker.Weight, or the largest seen where weights are live
 	hash         uint64  // of the ID
 	lease        permit.Lease
-	goneAt       time.Duration // when its process seemed to have ended, and no news has come since; 0: it did not
+	goneAt       time.Duration // when its process seemed to end, with no sync since; 0: it did not
 	assumedCold  bool          // it is taken for cold since then, though the list has not told of a restart
 	listed       bool          // it is among the ready workers: the list calls it ready, and its lease is live
 	listedWeight float64       // fullWeight when the list last changed it
--- a/internal/descriptors/share.go
+++ b/internal/descriptors/share.go
@@ -30,6 +30,9 @@
 // InUse returns how many are in use.
 func (s *Share) InUse() int { return int(s.used.Load()) }
 
+// HasRoom reports whether a descriptor is left, which another may take at any moment.
+func (s *Share) HasRoom() bool { return s.used.Load() < int64(s.limit) }
+
 // TryAcquire takes one descriptor and reports whether there was one left.
 func (s *Share) TryAcquire() bool {
 	for {
--- a/internal/discovery/freshness.go
+++ b/internal/discovery/freshness.go
@@ -8,7 +8,7 @@
 	"kitefall/internal/metrics"
 )
 
-// silentAfter is the age of the news from which on discovery counts as silent: two polls in a row have failed, or have been
+// silentAfter is the age of the last sync from which on discovery counts as silent: two polls in a row have failed, or have been
 // answered by a server that is behind.
 const silentAfter = 2 * pollTimeout
 
@@ -21,7 +21,7 @@
 // pollOutcome says how a poll ended, in metrics.
 type pollOutcome string
 
-// The outcomes. Only the first two are news: the server has told everything that it knew when the poll was sent.
+// The outcomes. The first two are a sync: the server has told everything that it knew when the poll was sent.
 const (
 	pollEvents     pollOutcome = "events"      // new events, up to the last one that exists
 	pollNothingNew pollOutcome = "nothing_new" // there is no event after the last one known
@@ -30,24 +30,24 @@
 	pollFailed     pollOutcome = "failed"      // no answer, or one that cannot be used
 )
 
-// isNews reports whether the poll has told all that its server knew.
-func (o pollOutcome) isNews() bool { return o == pollEvents || o == pollNothingNew }
+// isSync reports whether the poll has told all that its server knew.
+func (o pollOutcome) isSync() bool { return o == pollEvents || o == pollNothingNew }
 
-// freshness keeps how old the news is. It belongs to the goroutine of Run.
+// freshness keeps how old the last sync is. It belongs to the goroutine of Run.
 type freshness struct {
-	asOf   time.Time // when the last poll was sent that brought news; or when the watcher was made
-	silent bool      // the news is older than silentAfter, and that was logged
+	asOf   time.Time // when the poll of the last sync was sent; or when the watcher was made
+	silent bool      // the last sync is older than silentAfter, and that was logged
 }
 
 // note takes in the end of a poll, and logs when discovery falls silent or is heard again.
 func (f *freshness) note(outcome pollOutcome, sent, now time.Time, revision int64) {
 	metrics.Polls.Add(string(outcome))
-	if outcome.isNews() {
-		f.noteNews(sent, now, revision)
+	if outcome.isSync() {
+		f.noteSync(sent, now, revision)
 		return
 	}
 	age := now.Sub(f.asOf)
-	metrics.NewsAge.Observe(age)
+	metrics.SyncAge.Observe(age)
 	if age < silentAfter {
 		return
 	}
@@ -55,15 +55,15 @@
 		metrics.Discovery.Add("silent")
 	}
 	f.silent = true
-	silentLog.Log(slog.LevelWarn, "discovery: no news, what is believed of workers expires", "rev", revision,
+	silentLog.Log(slog.LevelWarn, "discovery: out of sync, what is believed of workers expires", "rev", revision,
 		"outcome", string(outcome), "age", age.Round(time.Millisecond))
 }
 
-func (f *freshness) noteNews(sent, now time.Time, revision int64) {
-	metrics.NewsAge.Observe(now.Sub(f.asOf))
+func (f *freshness) noteSync(sent, now time.Time, revision int64) {
+	metrics.SyncAge.Observe(now.Sub(f.asOf))
 	if f.silent {
 		metrics.Discovery.Add("heard_again")
-		freshLog.Log(slog.LevelInfo, "discovery: news again", "rev", revision, "after", now.Sub(f.asOf).Round(time.Millisecond))
+		freshLog.Log(slog.LevelInfo, "discovery: in sync again", "rev", revision, "after", now.Sub(f.asOf).Round(time.Millisecond))
 	}
 	f.silent = false
 	f.asOf = sent
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"kitefall/internal/balancer"
+	"kitefall/internal/channel"
 	"kitefall/internal/descriptors"
 	"kitefall/internal/logthrottle"
 )
@@ -29,7 +30,7 @@
 	pollTimeout = pollWait + 400*time.Millisecond
 
 	// pollBackoff is the pause after a poll that failed or was answered early without new events, and maxPollBackoff what it
-	// grows to while that goes on. It is short, since news must be had long before what is believed expires; pollJitter is the
+	// grows to while that goes on. It is short, since a sync must be had long before what is believed expires; pollJitter is the
 	// part of it that is drawn, lest a fleet polls at the same moment when the server is back.
 	pollBackoff    = 50 * time.Millisecond
 	maxPollBackoff = 400 * time.Millisecond
@@ -60,7 +61,7 @@
 	revision int64     // of the last event that was passed on
 	hasList  bool      // an event with the whole list was passed on
 	failing  bool      // the last poll failed
-	news     freshness // how old the news is
+	synced   freshness // how old the last sync is
 
 	mu          sync.Mutex
 	addr        string
@@ -84,7 +85,7 @@
 		MaxIdleConns:        1,
 	}
 	return &Watcher{addr: addr, receiver: receiver, client: &http.Client{Transport: transport},
-		addrChanged: make(chan struct{}), news: freshness{asOf: time.Now()}}
+		addrChanged: make(chan struct{}), synced: freshness{asOf: time.Now()}}
 }
 
 // SetAddress has the watcher poll the server at addr from now on. The poll under way is abandoned, since the old server
@@ -114,7 +115,7 @@
 	for ctx.Err() == nil {
 		addr, addrChanged := w.address()
 		err := w.poll(ctx, addr, addrChanged)
-		if isClosed(addrChanged) {
+		if channel.IsClosed(addrChanged) {
 			pause = pollBackoff
 			continue // the new server is polled at once, and how the poll of the old one ended says nothing
 		}
@@ -158,15 +159,6 @@
 	}
 }
 
-func isClosed(channel <-chan struct{}) bool {
-	select {
-	case <-channel:
-		return true
-	default:
-		return false
-	}
-}
-
 // poll asks the server at addr for new events, once, and passes them on. It is abandoned when ctx ends or addrChanged is
 // closed.
 func (w *Watcher) poll(ctx context.Context, addr string, addrChanged <-chan struct{}) error {
@@ -182,15 +174,15 @@
 	}()
 	response, err := w.fetch(ctx, pollURL(addr, w.revision, pollWait))
 	if err != nil {
-		if !isClosed(addrChanged) {
-			w.news.note(pollFailed, sent, time.Now(), w.revision)
+		if !channel.IsClosed(addrChanged) {
+			w.synced.note(pollFailed, sent, time.Now(), w.revision)
 		}
 		return err
 	}
 	hasNew := w.apply(response, balancer.ScopeFull, sent)
 	outcome := w.outcome(response, hasNew)
-	w.news.note(outcome, sent, time.Now(), w.revision)
-	if outcome.isNews() {
+	w.synced.note(outcome, sent, time.Now(), w.revision)
+	if outcome.isSync() {
 		w.receiver.ConfirmEndpoints(sent)
 	}
 	if !hasNew && time.Since(sent) < earlyAnswer {
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -205,5 +205,7 @@
 		Warmth:     result.Warmth,
 		QueueDepth: result.QueueDepth,
 		WrittenAt:  writtenAt,
+
+		ConnectedSince: c.clock.balancerTime(result.ConnectedSince),
 	})
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -59,7 +59,7 @@
 	lastID         balancer.RequestID
 	requests       map[balancer.RequestID]*request
 	endpoints      map[balancer.WorkerID]*endpoint
-	newsAsOf       time.Duration              // when the last poll was sent that brought news, in the balancer's time
+	syncedAt       time.Duration              // when the poll of the last sync with discovery was sent, in the balancer's time
 	removed        map[balancer.WorkerID]bool // those of endpoints that were removed
 	startTimes     *balancer.StartTimes
 	loads          map[loadKey]*loadOrder
--- a/internal/dispatch/endpoints.go
+++ b/internal/dispatch/endpoints.go
@@ -55,8 +55,8 @@
 // confirmEndpoints takes in that discovery knew nothing more at a time.
 func (c *Core) confirmEndpoints(asOf time.Time) {
 	at := c.clock.balancerTime(asOf)
-	c.newsAsOf = max(c.newsAsOf, at)
-	c.notifyBalancer(balancer.NewsEvent{AsOf: at})
+	c.syncedAt = max(c.syncedAt, at)
+	c.notifyBalancer(balancer.EndpointsSyncedEvent{AsOf: at})
 }
 
 // logLeases logs that leases of workers have ended or are live again.
@@ -66,7 +66,7 @@
 	metrics.Leases.AddMany("renewed", change.Renewed)
 	first := change.Workers[:min(len(change.Workers), loggedWorkers)]
 	leaseLog.Log(slog.LevelInfo, "core: leases of workers have changed", "ended", change.Ended, "contested", change.Contested,
-		"renewed", change.Renewed, "live", change.Live, "news_age", change.NewsAge.Round(time.Millisecond), "first", first)
+		"renewed", change.Renewed, "live", change.Live, "sync_age", change.SyncAge.Round(time.Millisecond), "first", first)
 }
 
 // translateStarts returns the starts of the workers in the balancer's time.
--- a/internal/dispatch/permits.go
+++ b/internal/dispatch/permits.go
@@ -87,7 +87,7 @@
 	if e == nil {
 		return time.Time{}
 	}
-	return c.clock.at(e.lease.End(c.permits.leaseTerms, c.newsAsOf))
+	return c.clock.at(e.lease.End(c.permits.leaseTerms, c.syncedAt))
 }
 
 // recordLease learns from the end of an attempt whether its worker drains. It returns when the attempt was written, in the
@@ -100,7 +100,7 @@
 	writtenAt = c.clock.balancerTime(result.WrittenAt)
 	switch result.Status {
 	case balancer.OK:
-		e.lease.Served(writtenAt)
+		e.lease.Served(writtenAt, c.clock.balancerTime(result.ConnectedSince), c.syncedAt)
 	case balancer.Rejected:
 		e.lease.Rejected(writtenAt)
 	}
--- a/internal/drain/state.go
+++ b/internal/drain/state.go
@@ -106,8 +106,8 @@
 	return true
 }
 
-// Judge returns what is to be done now with a connection that was made at a time, and on which the last request
-// came at another.
+// Judge returns what is to be done now with a connection that was made at a time, and on which the last
+// request came at another.
 func (s *State) Judge(now, accepted, lastRequest time.Time) Verdict {
 	verdict := Keep
 	for _, schedule := range s.current.Load().underWay {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -31,7 +31,7 @@
 	ClockSteps = newCounter("clock_steps")
 	// Discovery counts how often discovery fell silent, and how often it was heard again.
 	Discovery = newCounter("discovery")
-	// Leases counts leases of workers that have ended, for want of news or since a rejection contests them, or are live again.
+	// Leases counts leases of workers that have ended, for want of a sync or since a rejection contests them, or are live again.
 	Leases = newCounter("leases")
 	// LoadOrders counts load orders that have ended, by status.
 	LoadOrders = newCounter("load_orders")
@@ -54,8 +54,8 @@
 	EventLag = newMaximum("event_lag")
 	// EventTime is how long the event loop was busy with one event.
 	EventTime = newMaximum("event_time")
-	// NewsAge is how old the last news of discovery was when a poll ended.
-	NewsAge = newMaximum("news_age")
+	// SyncAge is how old the last sync with discovery was when a poll ended.
+	SyncAge = newMaximum("sync_age")
 )
 
 // newCounter returns a counter, which is published under its name.
--- a/internal/permit/lease.go
+++ b/internal/permit/lease.go
@@ -22,23 +22,23 @@
 
 // LeaseTerms is how long a lease lasts.
 type LeaseTerms struct {
-	News   time.Duration // from when a poll was sent that was answered
+	Synced time.Duration // from when the poll of a sync was sent: one whose answer leaves nothing out
 	Served time.Duration // from when a call was written that the worker served
 }
 
 // NewLeaseTerms returns the terms where nothing may be begun at a worker once it has drained for a grace. A
 // worker that drains goes on serving calls for up to that grace after the event, so that a served call tells
-// only that it did not drain one grace before; the news tells what was so when the poll was sent.
+// only that it did not drain one grace before; a sync tells what was so when its poll was sent.
 func NewLeaseTerms(drainGrace time.Duration) LeaseTerms {
 	return LeaseTerms{
-		News:   MaxNotificationDelay + drainGrace - listDelay - leaseMargin,
+		Synced: MaxNotificationDelay + drainGrace - listDelay - leaseMargin,
 		Served: MaxNotificationDelay - leaseMargin,
 	}
 }
 
 // Lease is the right to begin something at a worker that is believed to be ready. It ends by itself: what
 // the endpoint list has to tell counts as told after MaxNotificationDelay, also where discovery cannot be
-// reached or is wrong. News renews it, and calls that the worker serves.
+// reached or is wrong. A sync with discovery renews it, and calls that the worker serves.
 //
 // The zero value has ended. Times are those of a clock that is never set, and zero is never. It is not safe
 // for concurrent use.
@@ -55,15 +55,20 @@
 	l.settle(asOf)
 }
 
-// Served notes that the worker has served a call that was written at a time.
-func (l *Lease) Served(writtenAt time.Duration) {
-	l.served = max(l.served, writtenAt)
+// Served notes that the worker has served a call that was written at a time. It renews the lease only where
+// its process is known to be the one that was last told or proven to be ready: there has been a connection
+// to it since connectedSince without a gap. Else it may have drained, ended and been started again
+// meanwhile, and of that return nothing was told.
+func (l *Lease) Served(writtenAt, connectedSince, syncedAt time.Duration) {
+	if connectedSince <= max(l.served, l.told(syncedAt)) {
+		l.served = max(l.served, writtenAt)
+	}
 	l.settle(writtenAt)
 }
 
 // Rejected notes that the worker has rejected a call that was written at a time. It may be full, or it may
 // drain and discovery not tell: until it serves a call or the list names it, answers with nothing new are no
-// news of it.
+// proof of it.
 func (l *Lease) Rejected(writtenAt time.Duration) {
 	if writtenAt <= max(l.served, l.listed) {
 		return
@@ -79,18 +84,22 @@
 	}
 }
 
-// Contested reports whether news as of a time does not renew the lease.
-func (l *Lease) Contested(newsAsOf time.Duration) bool { return newsAsOf < l.contestedUntil }
+// Contested reports whether a sync at a time does not renew the lease.
+func (l *Lease) Contested(syncedAt time.Duration) bool { return syncedAt < l.contestedUntil }
 
-// End returns when the lease ends, where the last poll that brought news was sent at a time.
-func (l *Lease) End(terms LeaseTerms, newsAsOf time.Duration) time.Duration {
-	told := l.listed
-	if !l.Contested(newsAsOf) {
-		told = max(told, newsAsOf)
+// told returns as of when discovery last told that the worker is ready.
+func (l *Lease) told(syncedAt time.Duration) time.Duration {
+	if l.Contested(syncedAt) {
+		return l.listed
 	}
+	return max(l.listed, syncedAt)
+}
+
+// End returns when the lease ends, where the poll of the last sync was sent at a time.
+func (l *Lease) End(terms LeaseTerms, syncedAt time.Duration) time.Duration {
 	var end time.Duration
-	if told > 0 {
-		end = told + terms.News
+	if told := l.told(syncedAt); told > 0 {
+		end = told + terms.Synced
 	}
 	if l.served > 0 {
 		end = max(end, l.served+terms.Served)
--- a/internal/soak/dispatcherhandle.go
+++ b/internal/soak/dispatcherhandle.go
@@ -75,7 +75,8 @@
 	defer f.mu.Unlock()
 	r := &d.runs[run]
 	r.Ended = Now()
-	r.Shortages = shortagesIn(f.logPath(d.number, run))
+	r.Shortages = linesWith(f.logPath(d.number, run), shortageText)
+	r.Stopped = linesWith(f.logPath(d.number, run), stoppedText)
 	if r.Killed == 0 && (r.Terminated == 0 || err != nil) {
 		r.Crash = fmt.Sprint("ended: ", err)
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,6 +4,7 @@
 	"syscall"
 	"time"
 
+	"kitefall/internal/channel"
 	"kitefall/internal/wallstep"
 )
 
@@ -22,7 +23,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	d := f.dispatchers[number]
-	if isClosed(d.exited) {
+	if channel.IsClosed(d.exited) {
 		return nil
 	}
 	d.discovery = (d.discovery + 1) % discoveryAddresses
@@ -37,7 +38,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	d := f.dispatchers[number]
-	if isClosed(d.exited) {
+	if channel.IsClosed(d.exited) {
 		return
 	}
 	if run := &d.runs[len(d.runs)-1]; run.Terminated == 0 { // a second SIGTERM changes nothing
@@ -64,7 +65,7 @@
 	f.mu.Lock()
 	d := f.dispatchers[number]
 	exited := d.exited
-	if !isClosed(exited) {
+	if !channel.IsClosed(exited) {
 		d.runs[len(d.runs)-1].Killed = Now()
 		d.acceptUntil = 1 // long past
 		d.cmd.Process.Kill()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"kitefall/internal/channel"
 	"kitefall/internal/wallstep"
 )
 
@@ -186,7 +187,7 @@
 	for _, d := range f.dispatchers {
 		f.mu.Lock()
 		exited, cmd := d.exited, d.cmd
-		if exited != nil && !isClosed(exited) {
+		if exited != nil && !channel.IsClosed(exited) {
 			d.runs[len(d.runs)-1].Killed = Now()
 			cmd.Process.Kill()
 		}
@@ -201,15 +202,6 @@
 	f.stopDiscovery(f.allDispatchers())
 }
 
-func isClosed(channel <-chan struct{}) bool {
-	select {
-	case <-channel:
-		return true
-	default:
-		return false
-	}
-}
-
 // history gathers what was recorded.
 func (f *Fleet) history() (*History, error) {
 	h := &History{Rules: f.config.Rules, KillDelay: f.config.killDelay(), Limits: f.config.Limits, Faults: f.faults,
--- a/internal/soak/measure.go
+++ b/internal/soak/measure.go
@@ -15,6 +15,9 @@
 // shortageText is in a line of the log that tells of a want of descriptors.
 const shortageText = "too many open files"
 
+// stoppedText is in a line of the log that tells of a choice which the check at run time has stopped.
+const stoppedText = "would have broken a rule"
+
 // measure notes the most descriptors and memory that a process of a dispatcher uses, until it has ended.
 func (f *Fleet) measure(d *dispatcherHandle, pid, run int, exited <-chan struct{}) {
 	for !waitOr(exited, measureInterval) {
@@ -51,11 +54,11 @@
 	return 0
 }
 
-// shortagesIn counts the lines of a log that tell of a want of descriptors.
-func shortagesIn(path string) int {
+// linesWith counts how often a log has a text.
+func linesWith(path, text string) int {
 	log, err := os.ReadFile(path)
 	if err != nil {
 		return 0
 	}
-	return bytes.Count(log, []byte(shortageText))
+	return bytes.Count(log, []byte(text))
 }
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -56,7 +57,19 @@
 				{Worker: "s-1", State: stateActive, At: 8 * second}}
 			h.Workers = []WorkerEvent{callEvent(CallArrived, 10*second)}
 		}, nil},
-		"no answer": {func(h *History) { h.Requests = []*Request{newRequest(10 * second)} }, []Rule{RuleLost}},
+		"asked, not ordered": {func(h *History) {
+			h.Notifications = []Notification{{Worker: "s-1", State: stateLeaving, At: 8 * second}}
+			h.Workers = []WorkerEvent{{At: 10 * second, Kind: LoadArrived, Worker: "s-1"}}
+		}, nil},
+		"ordered at a draining worker": {func(h *History) {
+			h.Notifications = []Notification{{Worker: "s-1", State: stateLeaving, At: 8 * second}}
+			h.Workers = []WorkerEvent{{At: 10 * second, Kind: LoadArrived, Worker: "s-1", Copies: 1}}
+		}, []Rule{RuleDrain}},
+		"served without discovery":     {func(h *History) { addServing(h, 100, 51) }, nil},
+		"not served without discovery": {func(h *History) { addServing(h, 100, 49) }, []Rule{RuleServe}},
+		"too few to judge":             {func(h *History) { addServing(h, 99, 0) }, nil},
+		"a choice that was stopped":    {func(h *History) { h.Dispatchers[0].Stopped = 1 }, []Rule{RuleChoice}},
+		"no answer":                    {func(h *History) { h.Requests = []*Request{newRequest(10 * second)} }, []Rule{RuleLost}},
 		"client left": {func(h *History) {
 			r := newRequest(10 * second)
 			r.Left = 10*second + second/2
@@ -129,6 +142,39 @@
 	}
 }
 
+// addServing adds requests that are all served while discovery works, and a number of which some are while it is broken for long.
+func addServing(h *History, asked, served int) {
+	const begin, longAfter = 20 * second, 30 * second
+	h.Outages = []Outage{{Kind: OutageSilent, Begin: begin, End: time.Minute}}
+	for i := range 100 + asked {
+		r := newRequest(10 * second)
+		r.Words = []string{wordOK}
+		if i >= 100 {
+			r.Sent = longAfter
+		}
+		if i >= 100+served {
+			r.Words = []string{"full"}
+		}
+		r.Answers = []time.Duration{r.Sent + 1}
+		h.Requests = append(h.Requests, r)
+	}
+}
+
+// What comes late counts as told once its time is over, and what comes in time when it comes.
+func TestLateEventsCountAsToldInTime(t *testing.T) {
+	f := &Fleet{dispatchers: []*dispatcherHandle{{}}, config: Config{Members: 1}}
+	list := newEndpointList(f)
+	worker := newWorkerHandle(f, 0)
+	list.first = []change{{worker: worker.members[0], state: stateActive}}
+	for _, age := range []time.Duration{notifiedAfter + 3*second, second} {
+		list.changes = append(list.changes, change{at: Now() - age, worker: worker.members[0], state: stateLeaving})
+	}
+	list.answer(httptest.NewRecorder(), 0, 1)
+	assert.Equal(t, list.changes[0].at+notifiedAfter, list.notices[0].At)
+	assert.Greater(t, list.notices[1].At, list.changes[1].at+second-1)
+	assert.LessOrEqual(t, list.notices[1].At, Now())
+}
+
 func TestRandomPlanDependsOnTheSeedAlone(t *testing.T) {
 	assert.Equal(t, RandomPlan(3, planLength), RandomPlan(3, planLength))
 	assert.NotEqual(t, RandomPlan(3, planLength), RandomPlan(4, planLength))
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -87,6 +87,7 @@
 	Descriptors int
 	MemoryMB    int
 	Shortages   int // lines of its log that tell of a want of descriptors
+	Stopped     int // lines of its log that tell of a choice which would have broken a rule and was stopped
 }
 
 // Evacuation is a call to a dispatcher to send its clients away, and what was seen after it.
--- a/internal/soak/workerproc.go
+++ b/internal/soak/workerproc.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"kitefall/internal/channel"
 )
 
 // drainSignal has a worker's process drain.
@@ -186,7 +188,7 @@
 			conn.Close()
 		}
 	case syscall.SIGHUP:
-		if isClosed(w.resumed) {
+		if channel.IsClosed(w.resumed) {
 			w.resumed = make(chan struct{})
 		} else {
 			close(w.resumed)
--- a/internal/worker/closereason.go
+++ b/internal/worker/closereason.go
@@ -15,16 +15,16 @@
 
 // The reasons.
 const (
-	closedIdle       closeReason = "idle"        // unused for too long, or of no further use
-	closedForRoom    closeReason = "room"        // idle, and a connection to another worker needs its descriptor
-	closedPool       closeReason = "pool_closed" // with its pool
-	closedByWorker   closeReason = "worker"      // the worker has closed it
-	closedReset      closeReason = "reset"       // by the worker or the network
-	closedRefused    closeReason = "refused"     // it never came up
-	closedShortage   closeReason = "shortage"    // it never came up, for want of a descriptor or port of this process
-	closedTimedOut   closeReason = "timed_out"   // the dial, a write or an answer took too long
-	closedBadFrame   closeReason = "bad_frame"   // the worker does not keep to the protocol
-	closedUnreadable closeReason = "other"
+	closedIdle     closeReason = "idle"        // unused for too long, or of no further use
+	closedForRoom  closeReason = "room"        // idle, and a connection to another worker needs its descriptor
+	closedPool     closeReason = "pool_closed" // with its pool
+	closedByWorker closeReason = "worker"      // the worker has closed it
+	closedReset    closeReason = "reset"       // by the worker or the network
+	closedRefused  closeReason = "refused"     // it never came up
+	closedShortage closeReason = "shortage"    // it never came up, for want of a descriptor or port of this process
+	closedTimedOut closeReason = "timed_out"   // the dial, a write or an answer took too long
+	closedBadFrame closeReason = "bad_frame"   // the worker does not keep to the protocol
+	closedOther    closeReason = "other"
 )
 
 // reasonOf returns the reason that an error of a connection stands for.
@@ -45,7 +45,7 @@
 	case errors.Is(cause, syscall.ECONNRESET), errors.Is(cause, syscall.EPIPE):
 		return closedReset
 	default:
-		return closedUnreadable
+		return closedOther
 	}
 }
 
--- a/internal/worker/conn.go
+++ b/internal/worker/conn.go
@@ -112,6 +112,9 @@
 	}
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
+	if !c.pool.connectedLocked() {
+		c.pool.connectedSince = time.Now()
+	}
 	c.netConn = netConn
 	if c.state == connClosed { // closed while the dial was under way
 		c.closeSocketLocked()
@@ -120,6 +123,11 @@
 	return nil
 }
 
+// connectedLocked reports whether there is an established connection.
+func (p *Pool) connectedLocked() bool {
+	return slices.ContainsFunc(p.conns, func(c *conn) bool { return c.netConn != nil })
+}
+
 // finish ends a request and passes its result on, unless it has ended already.
 func (c *conn) finish(request *PendingRequest, result Result) {
 	c.pool.mu.Lock()
--- a/internal/worker/connlimit.go
+++ b/internal/worker/connlimit.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"kitefall/internal/channel"
 	"kitefall/internal/descriptors"
 )
 
@@ -50,6 +51,9 @@
 	return true
 }
 
+// hasRoom reports whether a descriptor is likely to be granted at once.
+func (l *ConnLimit) hasRoom() bool { return !l.wanted() && l.share.HasRoom() }
+
 // acquire takes a descriptor for a connection. It closes the connection that has been idle longest if none is left, and waits
 // until the deadline, or until c is closed. It must not be called with a pool's mutex held.
 func (l *ConnLimit) acquire(c *conn, deadline time.Time) error {
@@ -91,7 +95,7 @@
 		l.waiting.Add(-1)
 	}
 	l.mu.Unlock()
-	if granted && isClosed(w.conn.closed) {
+	if granted && channel.IsClosed(w.conn.closed) {
 		l.release(w.conn)
 	}
 	return !granted
@@ -137,12 +141,3 @@
 		longest.closeForRoom()
 	}
 }
-
-func isClosed(channel <-chan struct{}) bool {
-	select {
-	case <-channel:
-		return true
-	default:
-		return false
-	}
-}
--- a/internal/worker/connread.go
+++ b/internal/worker/connread.go
@@ -46,30 +46,30 @@
 // copy, or was never asked for. An error means that the connection cannot be used any more.
 func (c *conn) handleAnswer(answer frame) error {
 	result, err := answer.result()
-	request, writtenAt := c.noteAnswer(answer.id, result.Status, time.Now())
+	request := c.noteAnswer(answer.id, &result, time.Now())
 	if err != nil {
 		return err
 	}
-	result.WrittenAt = writtenAt
 	if request != nil && answer.code != codePong {
 		c.finish(request, result)
 	}
 	return nil
 }
 
-// noteAnswer notes that the worker has answered and returns the request in flight under the id, or nil, and when it was written.
-func (c *conn) noteAnswer(id uint64, status balancer.Status, now time.Time) (answered *PendingRequest, writtenAt time.Time) {
+// noteAnswer notes that the worker has answered. It returns the request in flight under the id, or nil, and completes its result.
+func (c *conn) noteAnswer(id uint64, result *Result, now time.Time) *PendingRequest {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	c.pool.lastAnswer = now
 	c.lastUsed = now
 	c.unansweredSince = time.Time{}
 	request := c.inFlight[id]
-	if request != nil && status != balancer.OK { // the call may be tried here again, and this answer be repeated
+	if request != nil && result.Status != balancer.OK { // the call may be tried here again, and this answer be repeated
 		c.endedIDs[id] = now
 	}
-	if request == nil {
-		return nil, time.Time{}
+	if request != nil {
+		result.WrittenAt = request.writtenAt
+		result.ConnectedSince = c.pool.connectedSince
 	}
-	return request, request.writtenAt
+	return request
 }
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -36,6 +36,8 @@
 	state      permit.Worker // by the last update of the endpoint list; the address of a removed one may be another's
 	conns      []*conn       // those that are not closed
 	lastAnswer time.Time     // on any connection
+	// connectedSince is since when there has been an established connection without a gap: all of them lead to one process.
+	connectedSince time.Time
 }
 
 // NewPool returns the pool of the worker at addr. It connects when there is something to send. Pools share c.
@@ -190,9 +192,12 @@
 	if len(p.conns) >= p.config.MaxConns {
 		return candidate
 	}
+	if len(p.conns) > 0 && !p.config.ConnLimit.hasRoom() {
+		return candidate
+	}
 	c := newConn(p, now)
 	granted := p.config.ConnLimit.tryAcquire(c)
-	if !granted && len(p.conns) > 0 {
+	if !granted && len(p.conns) > 0 { // another pool was faster
 		return candidate
 	}
 	p.openConnLocked(c, granted)
--- a/internal/worker/request.go
+++ b/internal/worker/request.go
@@ -15,7 +15,10 @@
 	QueueDepth int // calls for the same function at the worker when this one came
 	Copies     int // loaded copies; load orders only
 	Body       []byte
-	WrittenAt  time.Time // when its first byte was written on the connection of the answer; zero: it was not, or there is no answer
+
+	// Of what was answered; zero: nothing was.
+	WrittenAt      time.Time // when its first byte was written, on the connection of the answer
+	ConnectedSince time.Time // since when there has been a connection to the worker's process without a gap
 }
 
 // Attempt is one attempt of a call at a worker.
