Count a worker that was reached anew once its return counts as told; renew leases by use

What a worker serves that was reached anew now counts from 7.2 s after the connection was made, when a return before it counts as told; the lease may be over until then and resumes. While discovery is silent, calls go first to the worker of a group whose lease ends next.

--- a/internal/balancer/leases.go
+++ b/internal/balancer/leases.go
@@ -9,6 +9,9 @@
 // the choice is carried out.
 const LeaseChoiceMargin = 50 * time.Millisecond
 
+// renewWithin is how long before its end a lease is renewed by preference, while discovery is silent.
+const renewWithin = 4 * time.Second
+
 // leases is when the leases of the ready workers end, where the settings have them end. A worker without a
 // lease is out of all decisions, like one that drains: of the hot set, of placement and of load orders.
 type leases struct {
@@ -22,7 +25,25 @@
 	if !b.settings.EndpointLeases {
 		return 0
 	}
-	return w.lease.End(b.settings.leaseTerms, b.leases.syncedAt) - LeaseChoiceMargin - b.now
+	return w.lease.Left(b.settings.leaseTerms, b.leases.syncedAt, b.now) - LeaseChoiceMargin
+}
+
+// outOfSync reports whether discovery has been silent for so long that leases may end by it.
+func (b *Balancer) outOfSync() bool {
+	return b.settings.EndpointLeases && b.now-b.leases.syncedAt >= staleSync
+}
+
+// preferred returns the better one of two workers that suit a request alike; best may be nil. It is the first one,
+// unless the lease of the other is about to end.
+func (b *Balancer) preferred(best, other *worker) *worker {
+	if best == nil {
+		return other
+	}
+	left := b.leaseLeft(other)
+	if left < renewWithin && left < b.leaseLeft(best) {
+		return other
+	}
+	return best
 }
 
 // available reports whether a worker takes part in decisions: the list calls it ready, and that is not too
@@ -53,8 +74,8 @@
 	}
 	if b.available(w) != w.listed {
 		b.reviewLeases()
-	} else if w.listed { // it may end sooner now
-		b.leases.checkAt = min(b.leases.checkAt, b.now+b.leaseLeft(w)+1)
+	} else { // it may end or resume sooner now
+		b.leases.checkAt = min(b.leases.checkAt, b.nextLeaseChange([]*worker{w}))
 	}
 }
 
@@ -82,7 +103,7 @@
 	slices.SortFunc(changed, compareIDs)
 	b.updateReady(changed)
 	b.leases.lapsed = len(ready) - len(b.ready)
-	b.leases.checkAt = b.nextLeaseEnd()
+	b.leases.checkAt = b.nextLeaseChange(ready)
 	if len(changed) > 0 {
 		slices.Sort(change.Workers)
 		change.Live = len(b.ready)
@@ -90,11 +111,15 @@
 	}
 }
 
-// nextLeaseEnd returns when the first lease of a ready worker ends.
-func (b *Balancer) nextLeaseEnd() time.Duration {
+// nextLeaseChange returns when the first of the workers' leases ends or is live again by itself.
+func (b *Balancer) nextLeaseChange(workers []*worker) time.Duration {
 	next := b.now + b.settings.leaseTerms.Synced
-	for _, w := range b.ready {
-		next = min(next, b.now+b.leaseLeft(w)+1)
+	for _, w := range workers {
+		if w.listed {
+			next = min(next, b.now+b.leaseLeft(w)+1)
+		} else if at := w.lease.ResumesAt(b.settings.leaseTerms, b.now); at > 0 {
+			next = min(next, at)
+		}
 	}
 	return next
 }
--- a/internal/balancer/leases_test.go
+++ b/internal/balancer/leases_test.go
@@ -63,17 +63,21 @@
 }
 
 // The fleet serves on with the workers that serve: a call that is served renews the lease of its worker alone.
-func TestServedCallsKeepTheirWorker(t *testing.T) {
-	f, listedAt := newLeaseFleet(t, 4)
-	w := f.serve("safe", "fn")
+func TestServedCallsKeepTheirWorkers(t *testing.T) {
+	f, listedAt := newLeaseFleet(t, 6)
+	lastServed := map[WorkerID]time.Duration{}
 	for f.now < f.leaseEnd(listedAt)+10*time.Second {
-		f.advance(f.now + time.Second)
-		require.Equal(t, w, f.serve("safe", "fn"))
+		f.advance(f.now + 2*time.Second)
+		begin := f.now
+		lastServed[f.serve("safe", "fn")] = begin
+	}
+	require.NotEmpty(t, f.b.ready)
+	assert.Less(t, len(f.b.ready), 6)
+	for _, w := range f.b.ready {
+		assert.Less(t, f.now-lastServed[w.ID], permit.MaxNotificationDelay, "%s", w.ID)
 	}
-	require.Len(t, f.b.ready, 1)
-	assert.Equal(t, w, f.b.ready[0].ID)
 	f.sync(f.now)
-	assert.Len(t, f.b.ready, 4)
+	assert.Len(t, f.b.ready, 6)
 }
 
 // A sync does not renew the lease of a worker that rejects, until it serves or the list names it: discovery may
@@ -119,3 +123,18 @@
 	f.serve("safe", "fn")
 	assert.Len(t, f.b.ready, 2)
 }
+
+// While discovery is silent, calls of a function go first to the worker of its group whose lease ends next: only calls that are
+// served renew it.
+func TestCallsRenewTheLeaseThatEndsNext(t *testing.T) {
+	f, listedAt := newLeaseFleet(t, 3)
+	for range 12 { // hot: its group is the whole fleet
+		f.serve("safe", "fn")
+	}
+	f.advance(f.leaseEnd(listedAt) - 2*time.Second)
+	for range 30 {
+		f.advance(f.now + 300*ms)
+		f.serve("safe", "fn")
+	}
+	assert.Len(t, f.b.ready, 3, "none has ended, long after the first ones would have")
+}
--- a/internal/balancer/placement.go
+++ b/internal/balancer/placement.go
@@ -88,13 +88,18 @@
 	return best, best != nil
 }
 
-// findCandidates looks at the workers in the function's order until one is best.
+// findCandidates looks at the workers in the function's order until one is best. While discovery is silent it
+// looks at the whole group: calls that are served are all that renews leases.
 func (b *Balancer) findCandidates(r *request) candidates {
 	f := r.function
 	var found candidates
 	visited := 0
 	loadedByPeers := b.loadedByPeers(f)
+	renewing := b.outOfSync()
 	for i := range b.ready {
+		if found.best != nil && i >= f.groupSize+r.extraCandidates {
+			break
+		}
 		w := b.candidate(f, r.rotation, i)
 		if b.skippedInSlowStart(r, w, i) || !b.mayAttempt(r, w) || !b.healthy(r, w) {
 			continue
@@ -118,7 +123,10 @@
 			continue
 		}
 		if !overloaded && !avoided {
-			found.best = w
+			found.best = b.preferred(found.best, w)
+			if renewing {
+				continue
+			}
 			break
 		}
 		found.copyReady = found.copyReady || !avoided
--- a/internal/balancer/restarts.go
+++ b/internal/balancer/restarts.go
@@ -28,7 +28,7 @@
 
 // assumeRestarts takes workers that were gone since the last sync for cold, as if they started now.
 func (b *Balancer) assumeRestarts() {
-	if b.now-b.leases.syncedAt < staleSync {
+	if !b.outOfSync() {
 		return
 	}
 	for _, w := range b.restarts.gone {
--- a/internal/dispatch/permits.go
+++ b/internal/dispatch/permits.go
@@ -45,7 +45,7 @@
 		Worker:     c.endpointState(a.workerID),
 		ClientGone: r.handle.finished.Load(),
 		TimeLeft:   time.Until(a.deadline),
-		LeaseLeft:  time.Until(c.leaseEnd(a.workerID)),
+		LeaseLeft:  c.leaseLeft(a.workerID, time.Now()),
 	}
 	if reason := start.Check(); reason != permit.Allowed {
 		return reason
@@ -65,7 +65,7 @@
 
 // permitLoad checks a load order that is about to be handed to its worker's pool, and takes it from the budget.
 func (c *Core) permitLoad(id balancer.WorkerID, now time.Time) permit.Reason {
-	start := permit.Start{Worker: c.endpointState(id), LeaseLeft: c.leaseEnd(id).Sub(now)}
+	start := permit.Start{Worker: c.endpointState(id), LeaseLeft: c.leaseLeft(id, now)}
 	if reason := start.Check(); reason != permit.Allowed {
 		return reason
 	}
@@ -81,13 +81,19 @@
 	return e.state
 }
 
-// leaseEnd returns when the lease of a worker ends; long ago, where there is no such worker.
-func (c *Core) leaseEnd(id balancer.WorkerID) time.Time {
+// leaseLeft returns how much of the lease of a worker is left; negative: it is over, or there is no such worker.
+func (c *Core) leaseLeft(id balancer.WorkerID, now time.Time) time.Duration {
 	e := c.endpoints[id]
 	if e == nil {
-		return time.Time{}
+		return -1
 	}
-	return c.clock.at(e.lease.End(c.permits.leaseTerms, c.syncedAt))
+	return e.lease.Left(c.permits.leaseTerms, c.syncedAt, c.clock.balancerTime(now))
+}
+
+// leaseEnd returns when the lease of a worker ends.
+func (c *Core) leaseEnd(id balancer.WorkerID) time.Time {
+	now := time.Now()
+	return now.Add(c.leaseLeft(id, now))
 }
 
 // recordLease learns from the end of an attempt whether its worker drains. It returns when the attempt was written, in the
--- a/internal/dispatch/permits_test.go
+++ b/internal/dispatch/permits_test.go
@@ -109,10 +109,10 @@
 	c.endpoints["s-1"].lease = permit.Lease{}
 	polled := time.Now()
 	c.handle(endpointsConfirmed{asOf: polled})
-	assert.Equal(t, terms.Synced, c.leaseEnd("s-1").Sub(polled))
+	assert.Equal(t, terms.Synced, c.leaseLeft("s-1", polled))
 	acceptCall(c, "consulta")
 	written := polled.Add(time.Minute)
 	c.handle(attemptEnded{attempt: c.requests[c.lastID].attempts[0], result: worker.Result{Status: balancer.OK, WrittenAt: written}})
-	assert.Equal(t, terms.Served, c.leaseEnd("s-1").Sub(written))
-	assert.True(t, c.leaseEnd("s-2").Before(polled), "a worker that nobody knows")
+	assert.Equal(t, terms.Served, c.leaseLeft("s-1", written))
+	assert.Negative(t, c.leaseLeft("s-2", polled), "a worker that nobody knows")
 }
--- a/internal/permit/lease.go
+++ b/internal/permit/lease.go
@@ -36,34 +36,54 @@
 	}
 }
 
+// returnTold is when the start of a process counts as told that there is a connection to.
+const returnTold = MaxNotificationDelay + leaseMargin
+
 // Lease is the right to begin something at a worker that is believed to be ready. It ends by itself: what
 // the endpoint list has to tell counts as told after MaxNotificationDelay, also where discovery cannot be
 // reached or is wrong. A sync with discovery renews it, and calls that the worker serves.
 //
+// A worker that is reached anew may have drained, ended and been started again since it was last heard of:
+// its drain counts as told before its return does. Calls that it serves renew the lease from when its return
+// must count as told, too. Until then the lease may be over, and live again later.
+//
 // The zero value has ended. Times are those of a clock that is never set, and zero is never. It is not safe
 // for concurrent use.
 type Lease struct {
 	listed         time.Duration // as of when the list last named the worker as ready
-	served         time.Duration // when the last call was written that the worker has served
+	served         time.Duration // when the last call was written that proves that it is ready
+	reached        reached       // the last call that it served after it was reached anew
 	rejected       time.Duration // when the last call was written that it has rejected
 	contestedUntil time.Duration // polls sent before this do not renew the lease
 }
 
+// reached is a call that was served by a process of which nothing had been heard before.
+type reached struct {
+	served time.Duration // when it was written
+	since  time.Duration // since when there has been a connection to the process without a gap
+}
+
+// countsFrom returns when a return of the worker counts as told, so that the call is a proof.
+func (r reached) countsFrom() time.Duration { return r.since + returnTold }
+
 // Listed notes that the list names the worker as ready, as of a time.
 func (l *Lease) Listed(asOf time.Duration) {
 	l.listed = max(l.listed, asOf)
 	l.settle(asOf)
 }
 
-// Served notes that the worker has served a call that was written at a time. It renews the lease only where
-// its process is known to be the one that was last told or proven to be ready: there has been a connection
-// to it since connectedSince without a gap. Else it may have drained, ended and been started again
-// meanwhile, and of that return nothing was told.
+// Served notes that the worker has served a call that was written at a time, where there has been a connection
+// to its process without a gap since connectedSince.
 func (l *Lease) Served(writtenAt, connectedSince, syncedAt time.Duration) {
-	if connectedSince <= max(l.served, l.told(syncedAt)) {
+	l.settle(writtenAt)
+	sameProcess := connectedSince <= max(l.served, l.told(syncedAt))
+	call := reached{served: writtenAt, since: connectedSince}
+	switch {
+	case sameProcess || writtenAt >= call.countsFrom():
 		l.served = max(l.served, writtenAt)
+	case l.reached.since != connectedSince || l.reached.served < writtenAt:
+		l.reached = call
 	}
-	l.settle(writtenAt)
 }
 
 // Rejected notes that the worker has rejected a call that was written at a time. It may be full, or it may
@@ -95,8 +115,9 @@
 	return max(l.listed, syncedAt)
 }
 
-// End returns when the lease ends, where the poll of the last sync was sent at a time.
-func (l *Lease) End(terms LeaseTerms, syncedAt time.Duration) time.Duration {
+// Left returns how much of the lease is left at now, negative where it is over, where the poll of the last sync
+// was sent at syncedAt.
+func (l *Lease) Left(terms LeaseTerms, syncedAt, now time.Duration) time.Duration {
 	var end time.Duration
 	if told := l.told(syncedAt); told > 0 {
 		end = told + terms.Synced
@@ -104,5 +125,17 @@
 	if l.served > 0 {
 		end = max(end, l.served+terms.Served)
 	}
-	return end
+	if l.reached.served > 0 && now >= l.reached.countsFrom() {
+		end = max(end, l.reached.served+terms.Served)
+	}
+	return end - now
+}
+
+// ResumesAt returns when a lease that is over is live again without further evidence; 0: it is not.
+func (l *Lease) ResumesAt(terms LeaseTerms, now time.Duration) time.Duration {
+	at := l.reached.countsFrom()
+	if l.reached.served == 0 || now >= at || at >= l.reached.served+terms.Served {
+		return 0
+	}
+	return at
 }
--- a/internal/permit/lease_test.go
+++ b/internal/permit/lease_test.go
@@ -7,6 +7,12 @@
 	"github.com/stretchr/testify/assert"
 )
 
+// end returns when a lease ends, as seen an hour after all that is known.
+func (l *Lease) end(terms LeaseTerms, syncedAt time.Duration) time.Duration {
+	const now = 2 * time.Hour
+	return now + l.Left(terms, syncedAt, now)
+}
+
 // What counts as told is told at MaxNotificationDelay, and what may be begun then ends one grace later. A lease ends before, by
 // whatever it was renewed.
 func TestLeaseEndsBeforeADrainBinds(t *testing.T) {
@@ -15,13 +21,13 @@
 		synced := time.Hour
 		drained := synced - listDelay // the last change that the poll may have missed
 		var told Lease
-		assert.Less(t, told.End(terms, synced), drained+MaxNotificationDelay+grace, "by a sync")
-		assert.Greater(t, told.End(terms, synced), synced+MaxNotificationDelay-listDelay-leaseMargin, "by a sync")
+		assert.Less(t, told.end(terms, synced), drained+MaxNotificationDelay+grace, "by a sync")
+		assert.Greater(t, told.end(terms, synced), synced+MaxNotificationDelay-listDelay-leaseMargin, "by a sync")
 		var served Lease
 		served.Listed(time.Minute)
 		served.Served(time.Hour, time.Second, 0)
 		drained = time.Hour - grace // the worker served calls for a grace
-		assert.Less(t, served.End(terms, 0), drained+MaxNotificationDelay+grace, "by a served call")
+		assert.Less(t, served.end(terms, 0), drained+MaxNotificationDelay+grace, "by a served call")
 	}
 }
 
@@ -40,8 +46,8 @@
 		"served late":                   {func(l *Lease) { l.Listed(1); l.Served(now, 1, 0); l.Served(now-1, 1, 0) }, 0, now + terms.Served},
 		"rejected: a sync says nothing": {func(l *Lease) { l.Listed(now); l.Rejected(now + 1) }, now + 5, now + terms.Synced},
 		"rejected, never served":        {func(l *Lease) { l.Rejected(now + 1) }, now + 5, 0},
-		"served by one that returned": {func(l *Lease) { l.Listed(now); l.Served(now+9*time.Second, now+1, now) }, now,
-			now + terms.Synced},
+		"served by one that was reached anew": {func(l *Lease) { l.Listed(now); l.Served(now+5*time.Second, now+1, now) }, now,
+			now + 5*time.Second + terms.Served},
 		"served since the last sync": {func(l *Lease) { l.Listed(now); l.Served(now+9*time.Second, now+2, now+2) }, now + 2,
 			now + 9*time.Second + terms.Served},
 		"served ever since": {func(l *Lease) { l.Listed(now); l.Served(now+5, now, now); l.Served(now+9*time.Second, now+1, now) },
@@ -57,7 +63,36 @@
 		t.Run(name, func(t *testing.T) {
 			var l Lease
 			test.events(&l)
-			assert.Equal(t, test.want, l.End(terms, test.syncedAt))
+			assert.Equal(t, test.want, l.end(terms, test.syncedAt))
 		})
 	}
 }
+
+// What a worker serves that was reached anew counts once its return does: until then only what was told before.
+func TestLeaseOfAWorkerThatWasReachedAnew(t *testing.T) {
+	const told, since, served = time.Hour, time.Hour + 3*time.Second, time.Hour + 6*time.Second
+	terms := NewLeaseTerms(time.Second)
+	var l Lease
+	l.Listed(told)
+	l.Served(served, since, told)
+	for _, test := range []struct {
+		now  time.Duration
+		live bool
+	}{
+		{served, true},
+		{told + terms.Synced, true},
+		{told + terms.Synced + 1, false},
+		{since + MaxNotificationDelay, false},
+		{since + returnTold, true},
+		{served + terms.Served, true},
+		{served + terms.Served + 1, false},
+	} {
+		assert.Equal(t, test.live, l.Left(terms, told, test.now) >= 0, "%s", test.now-told)
+	}
+	assert.Equal(t, since+returnTold, l.ResumesAt(terms, served))
+	assert.Zero(t, l.ResumesAt(terms, since+returnTold), "it has resumed")
+	l.Served(served+1, served, told)
+	assert.Zero(t, l.ResumesAt(terms, served+2), "reached anew once more, it would be over before it counts")
+	l.Served(served+returnTold, served, told)
+	assert.Positive(t, l.Left(terms, told, served+returnTold+terms.Served-1), "the return counts by now")
+}
--- a/internal/soak/incident3_test.go
+++ b/internal/soak/incident3_test.go
@@ -69,6 +69,7 @@
 		f.RemoveWorker(i)
 		require.NoError(t, f.ReturnWorker(i))
 	}
+	assert.True(t, askReady(f.dispatcherAddr(0)), "all dispatchers miss discovery at once: none stands aside for it")
 	require.NoError(t, <-ended)
 	end = Now()
 	time.Sleep(returnWithin + time.Second)
@@ -97,6 +98,7 @@
 // Discovery tells nothing for longer than its news counts as told, and workers drain meanwhile: nothing new goes there once
 // the drain counts as told, whatever way discovery fails, and everybody else is still served (incident 3).
 func TestNothingNewToDrainingWorkersWithoutDiscovery(t *testing.T) {
+	t.Parallel()
 	for _, kind := range outageKinds {
 		t.Run(string(kind), func(t *testing.T) {
 			t.Parallel()
@@ -111,6 +113,7 @@
 
 // The same with clients that are quiet from before the drain until it counts as told, so that no rejection tells of it.
 func TestNothingNewToDrainingWorkersAfterAQuietTime(t *testing.T) {
+	t.Parallel()
 	for _, kind := range []OutageKind{OutageRefused, OutageSilent} {
 		t.Run(string(kind), func(t *testing.T) {
 			t.Parallel()
@@ -151,10 +154,8 @@
 		t.Run(name, func(t *testing.T) {
 			h, begin, end := run.play(t)
 			assert.Empty(t, Check(h))
-			t.Log("served before, during", h.servedShare(0, begin), h.servedShare(begin, end), h.servedShare(end, end+3*time.Second))
-			for s := begin; s < end; s += time.Second {
-				t.Log((s - begin).Seconds(), h.servedShare(s, s+time.Second))
-			}
+			t.Log("served before and during", h.servedShare(0, begin), h.servedShare(begin, end))
+			assert.GreaterOrEqual(t, h.servedShare(begin, end), 0.9)
 		})
 	}
 }
@@ -162,6 +163,7 @@
 // A worker that drains, ends and is started again while discovery tells nothing counts as told of its drain 7 s after that, and as
 // told of its return 7 s after that: what it serves in between is no proof that it may be used (found by the soak).
 func TestNothingNewToAWorkerWhoseReturnWasNotTold(t *testing.T) {
+	t.Parallel()
 	rules := DefaultRules()
 	rules.DrainGrace = outageGrace
 	worker := DefaultWorker()
