--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -107,6 +107,7 @@
 	}
 	var changed []*worker
 	if e.Scope != ScopeDelta {
+		b.leases.syncedAt = max(b.leases.syncedAt, e.AsOf)
 		for _, w := range b.workers {
 			w.setState(Removed, b.now)
 			changed = append(changed, w)
--- a/internal/balancer/leases.go
+++ b/internal/balancer/leases.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// LeaseChoiceMargin is how much of a worker's lease must be left when it is chosen: it is checked again when
-// the choice is carried out.
+// LeaseChoiceMargin is how much of a worker's lease must be left when it is chosen: it is checked again
+// when the choice is carried out.
 const LeaseChoiceMargin = 50 * time.Millisecond
 
 // renewWithin is how long before its end a lease is renewed by preference, while discovery is silent.
@@ -33,8 +33,8 @@
 	return b.settings.EndpointLeases && b.now-b.leases.syncedAt >= staleSync
 }
 
-// preferred returns the better one of two workers that suit a request alike; best may be nil. It is the first one,
-// unless the lease of the other is about to end.
+// preferred returns the better one of two workers that suit a request alike; best may be nil. It is the
+// first one, unless the lease of the other is about to end.
 func (b *Balancer) preferred(best, other *worker) *worker {
 	if best == nil {
 		return other
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -179,7 +179,11 @@
 		}
 		return err
 	}
-	hasNew := w.apply(response, balancer.ScopeFull, sent)
+	asOf := sent
+	if !w.isComplete(response) { // what it names may have changed by an event that has not come
+		asOf = w.synced.asOf
+	}
+	hasNew := w.apply(response, balancer.ScopeFull, asOf)
 	outcome := w.outcome(response, hasNew)
 	w.synced.note(outcome, sent, time.Now(), w.revision)
 	if outcome.isSync() {
@@ -191,6 +195,15 @@
 	return nil
 }
 
+// isComplete reports whether an answer brings, with what is known, all events up to the last one that it names.
+func (w *Watcher) isComplete(response WatchResponse) bool {
+	last := w.revision
+	for _, event := range response.Events {
+		last = max(last, event.Revision)
+	}
+	return last == response.Revision
+}
+
 // outcome returns what an answer was worth once its events have been taken in.
 func (w *Watcher) outcome(response WatchResponse, hasNew bool) pollOutcome {
 	switch {
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -205,6 +205,9 @@
 			watcher.Run(ctx)
 			if !test.isSync {
 				assert.Empty(t, heard.confirmed)
+				for _, update := range heard.updates[1:] {
+					assert.True(t, update.AsOf.Before(begin), "what it names may have changed since")
+				}
 				return
 			}
 			require.Len(t, heard.confirmed, 1)
--- a/internal/dispatch/endpoints.go
+++ b/internal/dispatch/endpoints.go
@@ -44,6 +44,7 @@
 		c.updateEndpoint(entry, asOf)
 	}
 	if update.Scope != balancer.ScopeDelta {
+		c.syncedAt = max(c.syncedAt, asOf)
 		c.markAbsentRemoved(listed)
 	}
 	c.deleteRemovedEndpoints()
--- a/internal/permit/lease.go
+++ b/internal/permit/lease.go
@@ -11,7 +11,8 @@
 	// without it says nothing of what has changed in this time before the poll was sent.
 	listDelay = 400 * time.Millisecond
 
-	// leaseMargin is how long the first byte may take from the last check to the worker, on a busy machine.
+	// leaseMargin is how long the first byte may take from the last check to the worker, on a busy
+	// machine.
 	leaseMargin = 200 * time.Millisecond
 
 	// contestTime is for how long polls that are answered with nothing new do not renew the lease of a
@@ -26,9 +27,9 @@
 	Served time.Duration // from when a call was written that the worker served
 }
 
-// NewLeaseTerms returns the terms where nothing may be begun at a worker once it has drained for a grace. A
-// worker that drains goes on serving calls for up to that grace after the event, so that a served call tells
-// only that it did not drain one grace before; a sync tells what was so when its poll was sent.
+// NewLeaseTerms returns the terms where nothing may be begun at a worker once it has drained for a grace.
+// A worker that drains goes on serving calls for up to that grace after the event, so that a served call
+// tells only that it did not drain one grace before; a sync tells what was so when its poll was sent.
 func NewLeaseTerms(drainGrace time.Duration) LeaseTerms {
 	return LeaseTerms{
 		Synced: MaxNotificationDelay + drainGrace - listDelay - leaseMargin,
@@ -44,11 +45,11 @@
 // reached or is wrong. A sync with discovery renews it, and calls that the worker serves.
 //
 // A worker that is reached anew may have drained, ended and been started again since it was last heard of:
-// its drain counts as told before its return does. Calls that it serves renew the lease from when its return
-// must count as told, too. Until then the lease may be over, and live again later.
+// its drain counts as told before its return does. Calls that it serves renew the lease from when its
+// return must count as told, too. Until then the lease may be over, and live again later.
 //
-// The zero value has ended. Times are those of a clock that is never set, and zero is never. It is not safe
-// for concurrent use.
+// The zero value has ended. Times are those of a clock that is never set, and zero is never. It is not
+// safe for concurrent use.
 type Lease struct {
 	listed         time.Duration // as of when the list last named the worker as ready
 	served         time.Duration // when the last call was written that proves that it is ready
@@ -72,8 +73,8 @@
 	l.settle(asOf)
 }
 
-// Served notes that the worker has served a call that was written at a time, where there has been a connection
-// to its process without a gap since connectedSince.
+// Served notes that the worker has served a call that was written at a time, where there has been a
+// connection to its process without a gap since connectedSince.
 func (l *Lease) Served(writtenAt, connectedSince, syncedAt time.Duration) {
 	l.settle(writtenAt)
 	sameProcess := connectedSince <= max(l.served, l.told(syncedAt))
@@ -87,8 +88,8 @@
 }
 
 // Rejected notes that the worker has rejected a call that was written at a time. It may be full, or it may
-// drain and discovery not tell: until it serves a call or the list names it, answers with nothing new are no
-// proof of it.
+// drain and discovery not tell: until it serves a call or the list names it, answers with nothing new are
+// no proof of it.
 func (l *Lease) Rejected(writtenAt time.Duration) {
 	if writtenAt <= max(l.served, l.listed) {
 		return
@@ -115,8 +116,8 @@
 	return max(l.listed, syncedAt)
 }
 
-// Left returns how much of the lease is left at now, negative where it is over, where the poll of the last sync
-// was sent at syncedAt.
+// Left returns how much of the lease is left at now, negative where it is over, where the poll of the last
+// sync was sent at syncedAt.
 func (l *Lease) Left(terms LeaseTerms, syncedAt, now time.Duration) time.Duration {
 	var end time.Duration
 	if told := l.told(syncedAt); told > 0 {
