--- a/internal/balancer/worker.go
+++ b/internal/balancer/worker.go
@@ -12,12 +12,9 @@
 	zone         *zone   // that of Worker.Zone
 	fullWeight   float64 // Worker.Weight, or the largest seen where weights are live
 	hash         uint64  // of the ID
-	lease        permit.Lease
-	goneAt       time.Duration // when its process seemed to end, with no sync since; 0: it did not
-	assumedCold  bool          // it is taken for cold since then, though the list has not told of a restart
-	listed       bool          // it is among the ready workers: the list calls it ready, and its lease is live
-	listedWeight float64       // fullWeight when the list last changed it
-	hotCalls     float64       // its part of this dispatcher's calls of hot functions
+	listed       bool    // it is among the ready workers: the list calls it ready, and its lease is live
+	listedWeight float64 // fullWeight when the list last changed it
+	hotCalls     float64 // its part of this dispatcher's calls of hot functions
 	removedAt    time.Duration
 	outstanding  []*attempt // pending attempts, oldest first
 	slowStart    slowStart
@@ -28,6 +25,12 @@
 	ejection     ejection
 	fullUntil    time.Duration           // it rejected for lack of room
 	classes      map[string]*classHealth // by class name
+
+	// Last, since sweeps over thousands of workers read the fields above.
+
+	lease       permit.Lease
+	goneAt      time.Duration // when its process seemed to end, with no sync since; 0: it did not
+	assumedCold bool          // it is taken for cold since then, though the list has not told of a restart
 }
 
 func newWorker(id WorkerID, window float64) *worker {
