--- a/internal/balancer/leases_test.go
+++ b/internal/balancer/leases_test.go
@@ -138,3 +138,46 @@
 	}
 	assert.Len(t, f.b.ready, 3, "none has ended, long after the first ones would have")
 }
+
+// Load orders need a lease as calls do, also in the moment before the next sweep finds that it has ended.
+func TestNothingIsOrderedWithoutALease(t *testing.T) {
+	f, listedAt := newLeaseFleet(t, 1)
+	f.serve("safe", "fn")
+	fn := f.b.functions["fn"]
+	f.b.now = f.leaseEnd(listedAt) + permit.MaxNotificationDelay
+	assert.False(t, f.b.orderLoad(fn, fn.placement(f.b.workers["w00"]), 2, 8))
+	f.b.leases.syncedAt = f.b.now
+	assert.True(t, f.b.orderLoad(fn, fn.placement(f.b.workers["w00"]), 2, 8))
+}
+
+// A request does not wait for a load at a worker whose lease has ended meanwhile.
+func TestRequestLeavesALoadWithoutALease(t *testing.T) {
+	f, listedAt := newLeaseFleet(t, 3)
+	f.advance(f.leaseEnd(listedAt) - 200*ms)
+	id := f.request("safe", "slow", 3*time.Second)
+	r := f.b.requests[id]
+	require.NotNil(t, r.waitingFor)
+	orderedAt := r.waitingFor.worker
+	for _, w := range f.b.ready {
+		if w != orderedAt {
+			w.lease.Served(f.now, 0, f.b.leases.syncedAt)
+		}
+	}
+	f.advance(f.now + 250*ms)
+	require.NotNil(t, r.waitingFor, "at another worker")
+	assert.NotEqual(t, orderedAt, r.waitingFor.worker)
+}
+
+// The lease of a worker that was reached anew is live again by itself once its return counts as told.
+func TestLeaseOfAWorkerReachedAnewResumes(t *testing.T) {
+	f, listedAt := newLeaseFleet(t, 1)
+	f.advance(listedAt + 3*time.Second)
+	w := f.b.workers["w00"]
+	connected := f.now
+	f.advance(f.now + 3*time.Second)
+	f.b.recordLease(w, OutcomeEvent{Status: OK, WrittenAt: f.now, ConnectedSince: connected})
+	f.advance(f.leaseEnd(listedAt) + 300*ms)
+	assert.Empty(t, f.b.ready)
+	f.advance(connected + permit.MaxNotificationDelay + time.Second)
+	assert.Len(t, f.b.ready, 1)
+}
--- a/internal/dispatch/permits_test.go
+++ b/internal/dispatch/permits_test.go
@@ -116,3 +116,11 @@
 	assert.Equal(t, terms.Served, c.leaseLeft("s-1", written))
 	assert.Negative(t, c.leaseLeft("s-2", polled), "a worker that nobody knows")
 }
+
+// What a pool tells of the end of its worker's process comes to the balancer.
+func TestEndOfAProcessReachesTheBalancer(t *testing.T) {
+	c, scripted := newPermitCore(t, idempotentSettings(), func(balancer.RequestID) []balancer.Action { return nil })
+	c.config.Pool.PeerGone("s-1")
+	c.handle((<-c.queue).event)
+	assert.Equal(t, []balancer.Event{balancer.PeerGoneEvent{Worker: "s-1"}}, scripted.events)
+}
