--- a/internal/permit/lease.go
+++ b/internal/permit/lease.go
@@ -81,8 +81,9 @@
 	l.settle(asOf)
 }
 
-// Accepted notes that the worker has accepted a call that was written at a time: it has served it, failed at it,
-// or looked for its function. There has been a connection to its process without a gap since connectedSince.
+// Accepted notes that the worker has accepted a call that was written at a time: it has served it, failed at
+// it, or looked for its function. There has been a connection to its process without a gap since
+// connectedSince.
 func (l *Lease) Accepted(writtenAt, connectedSince, syncedAt time.Duration) {
 	l.settle(writtenAt)
 	sameProcess := connectedSince <= max(l.accepted, l.told(syncedAt))
