--- a/internal/soak/freshconn.go
+++ b/internal/soak/freshconn.go
@@ -42,6 +42,9 @@
 		half = len(encoded) / 2
 		io.WriteString(c.netConn, encoded[:half])
 		time.Sleep(pause)
+		if !c.isOpen() { // the client sees that, and would send the request on another connection
+			return 0
+		}
 	}
 	c.client.mu.Lock()
 	defer c.client.mu.Unlock()
--- a/internal/soak/incident3_test.go
+++ b/internal/soak/incident3_test.go
@@ -88,7 +88,7 @@
 			continue
 		}
 		sent++
-		if len(r.Answers) > 0 && r.Words[0] == wordOK {
+		if r.served() {
 			served++
 		}
 	}
--- a/internal/soak/oracle_serving.go
+++ b/internal/soak/oracle_serving.go
@@ -60,7 +60,7 @@
 		state := h.stateOf(r.Dispatcher, r.Sent)
 		count := counts[state]
 		count.asked++
-		if r.Words[0] == wordOK {
+		if r.served() {
 			count.served++
 		}
 		counts[state] = count
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -74,6 +74,9 @@
 	Alone      bool            // no other request was open on the connection when it was sent
 }
 
+// served reports whether the first answer was that it is served.
+func (r *Request) served() bool { return len(r.Words) > 0 && r.Words[0] == wordOK }
+
 // DispatcherRun is one process of a dispatcher.
 type DispatcherRun struct {
 	Dispatcher int
