Failing test: a sync ends a slow start that the list had told of before an outage

Found when the change was read again: forgetRestarts ends the slow start of each worker that was taken for cold, also of one that the list had told to have started a few seconds before. Warmth 1 where 0.52 is due.

--- a/internal/balancer/restarts_test.go
+++ b/internal/balancer/restarts_test.go
@@ -63,3 +63,15 @@
 	f.sync(f.now)
 	assert.Less(t, f.b.warmth(w), 0.4)
 }
+
+// What is assumed during an outage does not end the slow start that the list had told of before.
+func TestAssumedRestartKeepsASlowStartThatWasTold(t *testing.T) {
+	f, _ := newLeaseFleet(t, 2)
+	f.update(ScopeDelta, Worker{ID: "w00", Weight: 1, Zone: "z0", Started: f.now})
+	f.sync(f.now)
+	f.advance(f.now + staleSync)
+	f.event(PeerGoneEvent{Worker: "w00"})
+	f.advance(f.now + time.Second)
+	f.sync(f.now)
+	assert.InDelta(t, 0.2+0.8*4/10, f.b.warmth(f.b.workers["w00"]), 0.01, "4 s of 10 s have passed since its start")
+}
