Go back to the start that the list has told once discovery is heard again

forgetRestarts ended the slow start of each worker that was taken for cold during an outage, also where the list had told of a start just before: it was sent the calls of a warm one. The start is derived from the worker's entry again.

--- a/internal/balancer/restarts.go
+++ b/internal/balancer/restarts.go
@@ -49,8 +49,8 @@
 	}
 }
 
-// forgetRestarts ends what was assumed of workers, since the list tells of restarts again. Those that it has
-// told of are warming up by its word.
+// forgetRestarts ends what was assumed of workers, since the list tells of restarts again. From now on they
+// are as warm as by the last start that it has told.
 func (b *Balancer) forgetRestarts(syncedAt time.Duration) {
 	var later []*worker
 	for _, w := range b.restarts.gone {
@@ -59,7 +59,8 @@
 			continue
 		}
 		if w.assumedCold {
-			w.slowStart.active = false
+			w.slowStart.startedAt = w.Started
+			w.slowStart.active = w.Started > 0
 		}
 		w.goneAt = 0
 		w.assumedCold = false
--- a/internal/permit/lease.go
+++ b/internal/permit/lease.go
@@ -53,7 +53,7 @@
 // reached or is wrong. A sync with discovery renews it, and calls that the worker accepts.
 //
 // A worker that is reached anew may have drained, ended and been started again since it was last heard of:
-// its drain counts as told before its return does. Calls that it serves renew the lease from when its
+// its drain counts as told before its return does. Calls that it accepts renew the lease from when its
 // return must count as told, too. Until then the lease may be over, and live again later.
 //
 // The zero value has ended. Times are those of a clock that is never set, and zero is never. It is not
