Failing test: a rejection after a lull takes the only worker out, with discovery well

Traced with the process's own log: 'contested=1 live=0 sync_age=1.349s': its only worker had rejected one call after a pause, and a contested worker without a recent proof is out for 30 s.

--- a/internal/balancer/leases_test.go
+++ b/internal/balancer/leases_test.go
@@ -181,3 +181,18 @@
 	f.advance(connected + permit.MaxNotificationDelay + time.Second)
 	assert.Len(t, f.b.ready, 1)
 }
+
+// A fleet whose workers reject is full rather than draining: with discovery well, contests never take more than half of it.
+func TestContestsLeaveHalfOfTheFleet(t *testing.T) {
+	for workers, most := range map[int]int{1: 0, 2: 1, 5: 2} {
+		f, listedAt := newLeaseFleet(t, workers)
+		for f.now < f.leaseEnd(listedAt)+time.Second {
+			f.advance(f.now + time.Second)
+			f.sync(f.now)
+		}
+		for _, w := range f.b.workers {
+			f.b.recordLease(w, OutcomeEvent{Status: Rejected, WrittenAt: f.now})
+		}
+		assert.Len(t, f.b.ready, workers-most, "%d workers", workers)
+	}
+}
