Contest the leases of half a fleet at most, and by the balancer's record alone

A rejection after a lull took the only worker out of use for 30 s though discovery was well. Where more than half of the workers would be contested they are full rather than draining, and their leases stay; the event loop checks time alone, as a contest is a judgement and no rule. Processes in tests that live for longer than some seconds get a discovery that answers, since without one nothing says that their worker is ready; their assertions are as before.

--- a/cmd/dispatcher/helpers_test.go
+++ b/cmd/dispatcher/helpers_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -23,12 +24,28 @@
 	waitTimeout = 5 * time.Second
 	// waitInterval is the time between two looks at it.
 	waitInterval = time.Millisecond
-	// noDiscovery is a discovery address that nothing listens at.
+	// noDiscovery is a discovery address that nothing listens at. What is known of the worker expires there within seconds.
 	noDiscovery = "127.0.0.1:1"
 	// clientIdentity is the path of the SPIFFE ID of the tenant a, which writeInvokeFile knows.
 	clientIdentity = "/desk/a"
 )
 
+// calmDiscovery starts a discovery service that knows of no change, and returns its address. A process that lives for longer than
+// some seconds needs one: without it nothing says that its worker is still ready.
+func calmDiscovery(t *testing.T) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		linger, _ := strconv.Atoi(r.URL.Query().Get("linger"))
+		select {
+		case <-time.After(time.Duration(linger) * time.Millisecond):
+			fmt.Fprintf(w, `{"rev":%s,"notices":[]}`, r.URL.Query().Get("watch"))
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
 // freeAddress returns an address that nothing listens at.
 func freeAddress(t *testing.T) string {
 	t.Helper()
--- a/cmd/dispatcher/kill_test.go
+++ b/cmd/dispatcher/kill_test.go
@@ -112,7 +112,7 @@
 		locations:  map[string]string{},
 	}
 	go k.serveWorker(worker)
-	writeConfig(t, k.configPath, freeAddress(t), noDiscovery, worker)
+	writeConfig(t, k.configPath, freeAddress(t), calmDiscovery(t), worker)
 	k.invokeFile, k.url = writeInvokeFile(t, authority)
 	addLookFunction(t, k.invokeFile)
 	k.retryQuickly()
--- a/cmd/dispatcher/measure_start_test.go
+++ b/cmd/dispatcher/measure_start_test.go
@@ -55,7 +55,7 @@
 func (m startMeasurement) run(t *testing.T, program string) {
 	t.Helper()
 	authority, worker := fakes.NewAuthority(t), fakes.NewWorker(t)
-	s := newService(t, noDiscovery, worker)
+	s := newService(t, calmDiscovery(t), worker)
 	invokeFile, url := writeInvokeFile(t, authority)
 	text, err := os.ReadFile(invokeFile)
 	require.NoError(t, err)
--- a/cmd/dispatcher/measure_test.go
+++ b/cmd/dispatcher/measure_test.go
@@ -83,7 +83,7 @@
 	t.Helper()
 	authority, worker := fakes.NewAuthority(t), fakes.NewWorker(t)
 	worker.Serve(func(call *fakes.Call) { call.OK(`"done"`) })
-	s := newService(t, noDiscovery, worker)
+	s := newService(t, calmDiscovery(t), worker)
 	invokeFile, url := writeInvokeFile(t, authority)
 	addLookFunction(t, invokeFile)
 	process := programCommand(program, s.configPath, invokeFile)
--- a/internal/balancer/leases.go
+++ b/internal/balancer/leases.go
@@ -18,6 +18,8 @@
 	syncedAt time.Duration // when the poll of the last sync was sent
 	checkAt  time.Duration // no lease of a listed worker ends before
 	lapsed   int           // workers that the list calls ready, without a lease
+
+	contested []*worker // those with a contested lease, and some whose contest is over
 }
 
 // leaseLeft is how long a worker may still be chosen; negative: it may not.
@@ -68,7 +70,7 @@
 	case OK, Miss, Failed:
 		w.lease.Accepted(e.WrittenAt, e.ConnectedSince, b.leases.syncedAt)
 	case Rejected:
-		w.lease.Rejected(e.WrittenAt)
+		b.contest(w, e.WrittenAt)
 	default:
 		return
 	}
@@ -79,6 +81,20 @@
 	}
 }
 
+// contest has syncs say nothing of a worker that has rejected a call, unless so many reject that they are
+// full rather than draining: there have to be others that can take its calls.
+func (b *Balancer) contest(w *worker, writtenAt time.Duration) {
+	b.leases.contested = slices.DeleteFunc(b.leases.contested, func(other *worker) bool {
+		return other == w || other.State != Ready || !other.lease.Contested(b.leases.syncedAt)
+	})
+	limit := failOpenShare * float64(len(b.ready)+b.leases.lapsed)
+	if float64(len(b.leases.contested)+1) > limit {
+		return
+	}
+	w.lease.Rejected(writtenAt)
+	b.leases.contested = append(b.leases.contested, w)
+}
+
 // checkLeases takes workers out of all decisions whose leases have ended.
 func (b *Balancer) checkLeases() {
 	if b.settings.EndpointLeases && b.now >= b.leases.checkAt {
--- a/internal/dispatch/permits.go
+++ b/internal/dispatch/permits.go
@@ -104,11 +104,9 @@
 		return 0
 	}
 	writtenAt = c.clock.balancerTime(result.WrittenAt)
-	switch result.Status {
+	switch result.Status { // rejections are for the balancer to judge: a worker that rejects may be full
 	case balancer.OK, balancer.Miss, balancer.Failed:
 		e.lease.Accepted(writtenAt, c.clock.balancerTime(result.ConnectedSince), c.syncedAt)
-	case balancer.Rejected:
-		e.lease.Rejected(writtenAt)
 	}
 	return writtenAt
 }
