Soak: judge a request that crossed a close by what was open at the end and by the reset

The client protocol lets a dispatcher close a connection with no open request on it, and has the client send a request that crosses this within 50 ms once more. The oracle excused it only where the client had no other request open when it sent it, as seen by the client: an answer that was written and not read yet counted as open. That was wrong, since the dispatcher had nothing open.

Ruled out: a request that was read and dropped.

Change: what is open is judged at the end of the connection, when all answers that were written before it have been read; and the exemption now also needs proof that the process had not read the last request: its machine resets the connection then, and ends it plainly where all was read. So a request that was read and dropped within 50 ms, which was excused before, is a violation now. Of several without an answer only the last is known to be unread, so they are excused only within 5 ms of the close; before, the first of them was excused within 50 ms whatever came of it.

--- a/internal/soak/clientconn.go
+++ b/internal/soak/clientconn.go
@@ -46,7 +46,6 @@
 // beginLocked makes a request known under the next tag.
 func (c *clientConn) beginLocked(r *Request) {
 	c.tag++
-	r.Alone = len(c.open) == 0
 	c.open[c.tag] = r
 	c.all[c.tag] = r
 }
@@ -108,22 +107,49 @@
 	for {
 		parts, err := readAnswer(reader)
 		if err != nil {
-			c.endedByDispatcher()
+			c.endedByDispatcher(err)
 			return
 		}
 		c.takeAnswer(parts)
 	}
 }
 
-func (c *clientConn) endedByDispatcher() {
+// endedByDispatcher records the end of the connection, which reading has met as err, with all requests open on it.
+func (c *clientConn) endedByDispatcher(err error) {
+	unanswered := c.endRequests(Now())
+	if len(unanswered) > 0 && lastBytesUnread(c.netConn, err) {
+		c.client.mu.Lock()
+		for _, r := range unanswered {
+			r.EndedUnread = true
+		}
+		c.client.mu.Unlock()
+	}
+	c.netConn.Close()
+}
+
+// endRequests ends the requests that are open and have no answer, and returns them. All answers that were written before the
+// connection was closed have been read by now. A request that is waited for no longer is not among them.
+func (c *clientConn) endRequests(now time.Duration) []*Request {
 	c.client.mu.Lock()
 	defer c.client.mu.Unlock()
+	c.closed = true
+	var unanswered []*Request
 	for _, r := range c.open {
-		r.ConnEnded = Now()
+		if r.Sent > 0 {
+			unanswered = append(unanswered, r)
+		}
 	}
 	c.open = map[int]*Request{}
-	c.closed = true
-	c.netConn.Close()
+	earliest := now
+	for _, r := range unanswered {
+		earliest = min(earliest, r.Sent)
+	}
+	for _, r := range unanswered {
+		r.ConnEnded = now
+		r.OpenAtEnd = len(unanswered)
+		r.EarliestOpen = earliest
+	}
+	return unanswered
 }
 
 // takeAnswer records an answer. The request stays known, so that a second answer is noticed.
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -91,6 +91,24 @@
 			h.Dispatchers[0].Killed = 12 * second
 			h.Requests = []*Request{newRequest(11*second + second/2)}
 		}, []Rule{RuleLost}},
+		"crossed the close of an idle connection": {func(h *History) {
+			h.Requests = []*Request{endedRequest(49, 49, 1, true)}
+		}, nil},
+		"read before the close": {func(h *History) {
+			h.Requests = []*Request{endedRequest(49, 49, 1, false)}
+		}, []Rule{RuleLost}},
+		"sent long before the close": {func(h *History) {
+			h.Requests = []*Request{endedRequest(51, 51, 1, true)}
+		}, []Rule{RuleLost}},
+		"closed with an earlier request open": {func(h *History) {
+			h.Requests = []*Request{endedRequest(1, 200, 2, true)}
+		}, []Rule{RuleLost}},
+		"closed with two requests open": {func(h *History) {
+			h.Requests = []*Request{endedRequest(1, 6, 2, true)}
+		}, []Rule{RuleLost}},
+		"two crossed the close together": {func(h *History) {
+			h.Requests = []*Request{endedRequest(1, 4, 2, true)}
+		}, nil},
 		"clients kept": {func(h *History) {
 			h.Evacuations = []Evacuation{{Called: second, Problems: []string{"a connection is held"}}}
 		}, []Rule{RuleEvacuate}},
@@ -142,6 +160,18 @@
 	}
 }
 
+// endedRequest is a request that was sent so many milliseconds before its connection ended, as was the earliest of those that
+// had no answer.
+func endedRequest(sent, earliest, open int, unread bool) *Request {
+	const ended = 11 * second
+	r := newRequest(ended - time.Duration(sent)*time.Millisecond)
+	r.ConnEnded = ended
+	r.EarliestOpen = ended - time.Duration(earliest)*time.Millisecond
+	r.OpenAtEnd = open
+	r.EndedUnread = unread
+	return r
+}
+
 // addServing adds requests that are all served while discovery works, and a number of which some are while it is broken for long.
 func addServing(h *History, asked, served int) {
 	const begin, longAfter = 20 * second, 30 * second
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -71,7 +71,11 @@
 	WrongBody  bool            // a served answer that no worker made for this request
 	Left       time.Duration   // the client cancelled it or closed its connection; 0: it did not
 	ConnEnded  time.Duration   // the dispatcher ended the connection before any answer; 0: it did not
-	Alone      bool            // no other request was open on the connection when it was sent
+	// What was open on the connection, without an answer, when the dispatcher ended it: how many requests, and when the
+	// earliest of them was sent. EndedUnread says that the dispatcher had not read the last of them.
+	OpenAtEnd    int
+	EarliestOpen time.Duration
+	EndedUnread  bool
 }
 
 // served reports whether the first answer was that it is served.
