Failing tests: an operators' call is reset where many others connect meanwhile

Ruled out: the listener's backlog (the connection was accepted, and reset after it), net/http's own timeouts of 2 s (the call took 21 ms at most).

Two tests force it without load: silent connections come while a call is answered, and before it is read.

--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -144,3 +144,75 @@
 	}
 	return errors.New("no timeout")
 }
+
+// slowOperations tells of each question whether it is ready, and answers when it is let.
+type slowOperations struct {
+	fakeOperations
+	asked  chan struct{}
+	answer chan struct{}
+}
+
+func (o *slowOperations) Ready() bool {
+	o.asked <- struct{}{}
+	<-o.answer
+	return true
+}
+
+// A caller whose call was read is answered, however many others connect meanwhile and whatever the machine is busy with.
+func TestCallThatWasReadIsAnswered(t *testing.T) {
+	const maxConns = 4
+	operations := &slowOperations{asked: make(chan struct{}), answer: make(chan struct{})}
+	addr := start(t, operations, maxConns)
+	caller, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer caller.Close()
+	_, err = io.WriteString(caller, "GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+	require.NoError(t, err)
+	<-operations.asked
+	connectSilently(t, addr, 20*maxConns)
+	close(operations.answer)
+	require.NoError(t, caller.SetReadDeadline(time.Now().Add(10*time.Second)))
+	answer, err := io.ReadAll(caller)
+	require.NoError(t, err)
+	assert.Contains(t, string(answer), "HTTP/1.1 200 ")
+}
+
+// connectSilently makes connections on which nothing is sent, and waits until each was accepted: only the newest are open.
+func connectSilently(t *testing.T, addr string, count int) {
+	t.Helper()
+	for range count {
+		conn, err := net.Dial("tcp", addr)
+		require.NoError(t, err)
+		t.Cleanup(func() { conn.Close() })
+	}
+	time.Sleep(100 * time.Millisecond)
+}
+
+// A call that has come and was not read yet, since the machine is busy, is spared as well.
+func TestCallThatIsNotReadYetKeepsItsConnection(t *testing.T) {
+	const maxConns = 4
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	bounded := newBoundedListener(ln, descriptors.NewShare(maxConns))
+	defer bounded.Close()
+	connect := func() (caller, accepted net.Conn) {
+		caller, err := net.Dial("tcp", ln.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { caller.Close() })
+		accepted, err = bounded.Accept()
+		require.NoError(t, err)
+		t.Cleanup(func() { accepted.Close() })
+		return caller, accepted
+	}
+	caller, accepted := connect()
+	const call = "GET /api/ready HTTP/1.1\r\n\r\n"
+	_, err = io.WriteString(caller, call)
+	require.NoError(t, err)
+	for range 5 * maxConns {
+		connect()
+	}
+	received := make([]byte, len(call))
+	_, err = io.ReadFull(accepted, received)
+	require.NoError(t, err)
+	assert.Equal(t, call, string(received))
+}
