Frontend: nothing is read from a connection once it is to be closed as idle

Cause: between the decision to close an idle connection and its close the reader took a request that nobody looked at any more: read, and never answered.

Change: the decision stops the reading in the same step (package gatedconn, used by the operators' address as well). What was read by then counts as in use, as before; what comes later stays unread, and the system resets the connection, so that the client knows that its request had no effect. This holds for all reasons to close: draining, room, shortage, timeouts. Connections without a socket, in tests, are judged as before.

Ruled out: a shutdown of the reading side alone (the system goes on accepting bytes) and a read deadline in the past (a reader that runs already is not stopped by it).

--- a/internal/admin/listener.go
+++ b/internal/admin/listener.go
@@ -2,13 +2,11 @@
 
 import (
 	"container/list"
-	"log/slog"
 	"net"
 	"sync"
 
 	"kitefall/internal/descriptors"
 	"kitefall/internal/gatedconn"
-	"kitefall/internal/logthrottle"
 )
 
 // boundedListener accepts connections without end, but holds only as many as there are descriptors in its share: the newest
@@ -17,43 +15,26 @@
 type boundedListener struct {
 	net.Listener
 	share *descriptors.Share
-	log   *logthrottle.Logger
 
 	mu    sync.Mutex
 	conns *list.List // of *boundedConn, oldest first
 }
 
 func newBoundedListener(ln net.Listener, share *descriptors.Share) *boundedListener {
-	return &boundedListener{Listener: ln, share: share, log: logthrottle.New(), conns: list.New()}
+	return &boundedListener{Listener: ln, share: share, conns: list.New()}
 }
 
 // Accept returns the next connection, in the place of another if need be.
 func (l *boundedListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		bounded, err := l.newConn(conn)
-		if err == nil {
-			return bounded, nil
-		}
-		l.log.Log(slog.LevelWarn, "admin: connection closed", "err", err)
-		conn.Close()
-	}
-}
-
-// newConn gives a connection a place.
-func (l *boundedListener) newConn(conn net.Conn) (*boundedConn, error) {
-	bounded := &boundedConn{listener: l}
-	gated, err := gatedconn.New(conn, bounded.call.observe)
+	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	bounded.Conn = gated
 	for !l.share.TryAcquire() {
 		l.closeOne()
 	}
+	bounded := &boundedConn{listener: l}
+	bounded.Conn = gatedconn.New(conn, bounded.call.observe)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	bounded.element = l.conns.PushBack(bounded)
--- a/internal/frontend/resp/conn.go
+++ b/internal/frontend/resp/conn.go
@@ -146,15 +146,6 @@
 	return permit.Connection{Open: len(c.requests), Unwritten: c.unwritten}
 }
 
-// mayCloseLocked reports whether the connection may be closed for a reason. The caller holds c.mu.
-func (c *clientConn) mayCloseLocked(reason closeReason) bool {
-	use := c.netConn.usage(reason)
-	answers := c.answersDueLocked()
-	use.Open = answers.Open
-	use.Unwritten = answers.Unwritten
-	return use.Check() == permit.Allowed
-}
-
 // close closes the connection and cancels the requests in flight on it. Only the first call has an effect.
 func (c *clientConn) close(reason closeReason) {
 	c.mu.Lock()
@@ -171,10 +162,11 @@
 	}
 }
 
-// closeIfIdle closes the connection if nothing is in use on it, and reports whether it did. An incomplete request counts only where the reason spares it.
+// closeIfIdle closes the connection if nothing is in use on it, and reports whether it did. An incomplete request counts only
+// where the reason spares it.
 func (c *clientConn) closeIfIdle(reason closeReason) (closed bool) {
 	c.mu.Lock()
-	if c.closed || !c.mayCloseLocked(reason) {
+	if c.closed || !c.netConn.stopReadingIfUnused(reason, c.answersDueLocked()) {
 		c.mu.Unlock()
 		return false
 	}
--- a/internal/frontend/resp/listener.go
+++ b/internal/frontend/resp/listener.go
@@ -50,9 +50,8 @@
 }
 
 // makeRoom takes a descriptor of the share for a connection, closes idle ones until there is one, and reports whether there
-// is. Clients that connect
-// and stay must not keep others out; nor may the frontend exceed its limit, since the remaining descriptors are for the
-// workers, and without these no request in flight could end well.
+// is. Clients that connect and stay must not keep others out; nor may the frontend exceed its limit, since the remaining
+// descriptors are for the workers, and without these no request in flight could end well.
 func (l *listener) makeRoom() bool {
 	for !l.server.descriptors.TryAcquire() {
 		if !l.server.closeOneIdle(closedForRoom) {
--- a/internal/frontend/resp/trackedconn.go
+++ b/internal/frontend/resp/trackedconn.go
@@ -6,16 +6,17 @@
 	"sync/atomic"
 	"time"
 
+	"kitefall/internal/gatedconn"
 	"kitefall/internal/permit"
 )
 
 // trackedConn is an accepted network connection. It validates what the client sends before redcon reads it, and is one
 // of its server's connections until it is closed.
 type trackedConn struct {
-	net.Conn
+	*gatedconn.Conn
 	server     *Server
 	acceptedAt time.Time
-	validator  requestValidator // used by the goroutine that reads, alone
+	validator  requestValidator // used by the goroutine that reads, alone, in observe
 	// requestBegan is when the first byte of an incomplete request came, as nanoseconds since acceptedAt; 0: there is none.
 	requestBegan atomic.Int64
 	unhandled    atomic.Int64 // requests that were read whole and not looked at yet
@@ -27,27 +28,28 @@
 
 // track adds an accepted connection to those of the server.
 func (s *Server) track(conn net.Conn) *trackedConn {
-	tracked := &trackedConn{Conn: conn, server: s, acceptedAt: time.Now()}
+	tracked := &trackedConn{server: s, acceptedAt: time.Now()}
+	tracked.Conn = gatedconn.New(conn, tracked.observe)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[tracked] = true
 	return tracked
 }
 
-// Read reads what the client sends. It fails with errMalformedRequest where that is no request of the client protocol.
-func (t *trackedConn) Read(buffer []byte) (int, error) {
-	n, err := t.Conn.Read(buffer)
-	valid := t.validator.accept(buffer[:n])
-	t.unhandled.Add(int64(t.validator.takeCompleted())) // first, lest the connection look idle for a moment
+// observe looks at what the client has sent, as it is read. It fails with errMalformedRequest where that is no request of the
+// client protocol.
+func (t *trackedConn) observe(data []byte) error {
+	valid := t.validator.accept(data)
+	t.unhandled.Add(int64(t.validator.takeCompleted()))
 	if !valid {
-		return 0, errMalformedRequest
+		return errMalformedRequest
 	}
 	if !t.validator.withinRequest() {
 		t.requestBegan.Store(0)
 	} else if t.requestBegan.Load() == 0 {
 		t.requestBegan.Store(max(time.Since(t.acceptedAt).Nanoseconds(), 1))
 	}
-	return n, err
+	return nil
 }
 
 // Close closes the connection, waits until its descriptor is closed, and makes room for another. It may be called more than
@@ -77,20 +79,24 @@
 	return !t.closed
 }
 
-// usage returns what is in use of what the client has sent. A request in part counts only where the reason spares it.
-func (t *trackedConn) usage(reason closeReason) permit.Connection {
-	return permit.Connection{
-		Unhandled:  int(t.unhandled.Load()),
-		Incomplete: t.requestBegan.Load() != 0 && reason.sparesIncomplete(),
-		Unread:     hasUnread(t.Conn),
-	}
+// stopReadingIfUnused has no more requests read if nothing is in use, neither of what the client has sent nor of the answers
+// due to it, and reports whether that is so. A request in part counts only where the reason to close spares it. The caller
+// closes the connection then: what comes meanwhile stays unread, and the client learns that from the system.
+func (t *trackedConn) stopReadingIfUnused(reason closeReason, answersDue permit.Connection) bool {
+	return t.StopReadingIf(func(unread bool) bool {
+		use := answersDue
+		use.Unhandled = int(t.unhandled.Load())
+		use.Incomplete = t.requestBegan.Load() != 0 && reason.sparesIncomplete()
+		use.Unread = unread
+		return use.Check() == permit.Allowed
+	})
 }
 
 // closeIfIdle closes the connection unless something is in use on it, and reports whether it did.
 func (t *trackedConn) closeIfIdle(reason closeReason) (closed bool) {
 	t.server.mu.Lock()
 	client := t.client
-	closing := client == nil && !t.closed && t.usage(reason).Check() == permit.Allowed
+	closing := client == nil && !t.closed && t.stopReadingIfUnused(reason, permit.Connection{})
 	if closing {
 		t.closed = true // a first request that arrives at this moment is not accepted any more
 	}
--- a/internal/frontend/resp/unread_test.go
+++ b/internal/frontend/resp/unread_test.go
@@ -39,7 +39,7 @@
 		conn := s.track(accepted)
 		_, err := client.Write([]byte(checkRequest))
 		require.NoError(t, err)
-		require.Eventually(t, func() bool { return hasUnread(accepted) }, 10*time.Second, time.Millisecond)
+		require.Eventually(t, conn.HasUnread, 10*time.Second, time.Millisecond)
 		assert.False(t, conn.closeIfIdle(reason), reason)
 		_, err = conn.Read(make([]byte, 4096))
 		require.NoError(t, err)
--- a/internal/gatedconn/conn.go
+++ b/internal/gatedconn/conn.go
@@ -16,9 +16,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// ErrNoSocket means that a connection has no descriptor of the system that could be read.
-var ErrNoSocket = errors.New("gatedconn: the connection is not a socket")
-
 // Observer is told of all bytes that were read, in their order. Its error ends the reading and is returned by Read. It is
 // called by the goroutine that reads and must not call the connection.
 type Observer func(data []byte) error
@@ -26,24 +23,30 @@
 // Conn is a connection whose reading can be stopped. Read may be called by one goroutine at a time; all other methods by any.
 type Conn struct {
 	net.Conn
-	raw     syscall.RawConn
+	raw     syscall.RawConn // nil: there is no socket
 	observe Observer
 
 	mu      sync.Mutex // held while bytes are taken from the system and observed
 	stopped bool
 }
 
-// New returns a connection over a socket, whose bytes are told to an observer as they are read.
-func New(conn net.Conn, observe Observer) (*Conn, error) {
+// New returns a connection over another, whose bytes are told to an observer as they are read. Over one that is no socket,
+// such as net.Pipe, bytes that cross the decision are read and dropped.
+func New(conn net.Conn, observe Observer) *Conn {
+	return &Conn{Conn: conn, raw: rawConn(conn), observe: observe}
+}
+
+// rawConn returns the socket of a connection; nil if it has none.
+func rawConn(conn net.Conn) syscall.RawConn {
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
-		return nil, ErrNoSocket
+		return nil
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return nil, err
+		return nil
 	}
-	return &Conn{Conn: conn, raw: raw, observe: observe}, nil
+	return raw
 }
 
 // Read reads as net.Conn does, and has the observer told before it returns. After StopReadingIf has stopped it, it fails with
@@ -52,6 +55,9 @@
 	if len(buffer) == 0 {
 		return 0, nil
 	}
+	if c.raw == nil {
+		return c.readWithoutSocket(buffer)
+	}
 	var n int
 	var err error
 	waitErr := c.raw.Read(func(descriptor uintptr) (done bool) {
@@ -64,6 +70,27 @@
 	return n, err
 }
 
+func (c *Conn) readWithoutSocket(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if err != nil {
+		return n, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopped {
+		return 0, net.ErrClosed
+	}
+	return c.observeLocked(buffer[:n])
+}
+
+// observeLocked tells the observer of bytes and returns what Read does. The caller holds c.mu.
+func (c *Conn) observeLocked(data []byte) (int, error) {
+	if err := c.observe(data); err != nil {
+		return 0, err
+	}
+	return len(data), nil
+}
+
 // takeAvailable takes what the system has, and reports with done that there was something, or that there will be nothing.
 func (c *Conn) takeAvailable(descriptor int, buffer []byte) (n int, done bool, err error) {
 	c.mu.Lock()
@@ -83,10 +110,8 @@
 	case n == 0:
 		return 0, true, io.EOF
 	}
-	if err := c.observe(buffer[:n]); err != nil {
-		return 0, true, err
-	}
-	return n, true, nil
+	n, err = c.observeLocked(buffer[:n])
+	return n, true, err
 }
 
 // StopReadingIf asks whether nothing is in use, while no byte is read, and has Read fail from then on if so. unused is told
@@ -104,6 +129,9 @@
 // HasUnread reports whether the system holds bytes of the peer that were not read yet. Closing the connection would throw
 // them away. Where the system does not tell, it reports false.
 func (c *Conn) HasUnread() bool {
+	if c.raw == nil {
+		return false
+	}
 	unread := 0
 	c.raw.Control(func(descriptor uintptr) {
 		if bytes, err := unix.IoctlGetInt(int(descriptor), unix.TIOCINQ); err == nil {
--- a/internal/gatedconn/conn_test.go
+++ b/internal/gatedconn/conn_test.go
@@ -25,9 +25,7 @@
 	accepted, err := ln.Accept()
 	require.NoError(t, err)
 	t.Cleanup(func() { accepted.Close() })
-	gated, err = New(accepted, observe)
-	require.NoError(t, err)
-	return client, gated
+	return client, New(accepted, observe)
 }
 
 func ignore([]byte) error { return nil }
@@ -105,10 +103,23 @@
 	assert.Equal(t, "early", string(buffer[:n]))
 }
 
-func TestOnlySocketsAreGated(t *testing.T) {
-	one, other := net.Pipe()
-	defer one.Close()
-	defer other.Close()
-	_, err := New(one, ignore)
-	assert.ErrorIs(t, err, ErrNoSocket)
+// Without a socket the decision counts as well, though what crosses it is dropped.
+func TestConnectionWithoutASocket(t *testing.T) {
+	client, server := net.Pipe()
+	defer client.Close()
+	defer server.Close()
+	observed := ""
+	gated := New(server, func(data []byte) error {
+		observed += string(data)
+		return nil
+	})
+	go io.WriteString(client, "early")
+	n, err := gated.Read(make([]byte, 8))
+	require.NoError(t, err)
+	assert.Equal(t, len("early"), n)
+	assert.True(t, gated.StopReadingIf(func(unread bool) bool { return !unread }))
+	go io.WriteString(client, "late")
+	_, err = gated.Read(make([]byte, 8))
+	assert.ErrorIs(t, err, net.ErrClosed)
+	assert.Equal(t, "early", observed)
 }
