--- a/internal/balancer/leases.go
+++ b/internal/balancer/leases.go
@@ -32,7 +32,7 @@
 
 // outOfSync reports whether discovery has been silent for so long that leases may end by it.
 func (b *Balancer) outOfSync() bool {
-	return b.settings.EndpointLeases && b.now-b.leases.syncedAt >= staleSync
+	return b.settings.EndpointLeases && b.now-b.leases.syncedAt >= StaleSync
 }
 
 // preferred returns the better one of two workers that suit a request alike; best may be nil. It is the
--- a/internal/balancer/restarts.go
+++ b/internal/balancer/restarts.go
@@ -2,9 +2,10 @@
 
 import "time"
 
-// staleSync is the age of the last sync from which on the endpoint list is not relied on to tell of a
-// restart.
-const staleSync = 3 * time.Second
+// StaleSync is the age of the last sync from which on discovery counts as silent: the endpoint list is not
+// relied on to tell of a restart, and operators are told. Two polls in a row have failed by then, or were
+// answered by a server that is behind.
+const StaleSync = 3 * time.Second
 
 // restarts is the workers whose processes seem to have ended since the last sync. While discovery is silent
 // nobody tells that they have started again, and that they are cold; it counts as told all the same.
--- a/internal/balancer/restarts_test.go
+++ b/internal/balancer/restarts_test.go
@@ -22,7 +22,7 @@
 // A worker that comes back while discovery is silent may be cold, and counts as told of: it is sent a part of what it could do,
 // and holds no copies (incident 3, sweep).
 func TestReturnDuringAnOutageIsTakenForAColdStart(t *testing.T) {
-	f, w := goneWorker(t, staleSync)
+	f, w := goneWorker(t, StaleSync)
 	assert.Less(t, f.b.warmth(w), 0.3)
 	assert.Zero(t, f.b.functions["fn"].placements[w.ID].copies)
 	before := f.sentTo[w.ID]
@@ -35,7 +35,7 @@
 
 // The start is taken for the moment of the first contact.
 func TestAssumedStartIsThatOfTheFirstContact(t *testing.T) {
-	f, w := goneWorker(t, staleSync)
+	f, w := goneWorker(t, StaleSync)
 	f.advance(f.now + 500*ms)
 	before := f.now
 	f.b.noteFirstContact(&attempt{worker: w, sentAt: before})
@@ -46,7 +46,7 @@
 
 // While the list is followed, it tells of restarts: a connection that breaks says nothing.
 func TestBreakIsNoRestartWhileTheListIsFollowed(t *testing.T) {
-	f, w := goneWorker(t, staleSync-100*ms)
+	f, w := goneWorker(t, StaleSync-100*ms)
 	assert.InDelta(t, 1, f.b.warmth(w), 0)
 	f.advance(f.now + 200*ms) // without a sync it may have been one after all
 	assert.Less(t, f.b.warmth(w), 0.3)
@@ -57,7 +57,7 @@
 
 // A restart that the list tells of stays.
 func TestToldRestartStaysAfterTheNextSync(t *testing.T) {
-	f, w := goneWorker(t, staleSync)
+	f, w := goneWorker(t, StaleSync)
 	f.advance(f.now + time.Second)
 	f.update(ScopeDelta, Worker{ID: w.ID, Weight: 1, Zone: "z0", Started: f.now - 500*ms})
 	f.sync(f.now)
@@ -69,7 +69,7 @@
 	f, _ := newLeaseFleet(t, 2)
 	f.update(ScopeDelta, Worker{ID: "w00", Weight: 1, Zone: "z0", Started: f.now})
 	f.sync(f.now)
-	f.advance(f.now + staleSync)
+	f.advance(f.now + StaleSync)
 	f.event(PeerGoneEvent{Worker: "w00"})
 	f.advance(f.now + time.Second)
 	f.sync(f.now)
--- a/internal/discovery/freshness.go
+++ b/internal/discovery/freshness.go
@@ -4,14 +4,11 @@
 	"log/slog"
 	"time"
 
+	"kitefall/internal/balancer"
 	"kitefall/internal/logthrottle"
 	"kitefall/internal/metrics"
 )
 
-// silentAfter is the age of the last sync from which on discovery counts as silent: two polls in a row have failed, or have been
-// answered by a server that is behind.
-const silentAfter = 2 * pollTimeout
-
 // The log of silence is throttled, since a server can fall silent and return in turn.
 var (
 	silentLog = logthrottle.New()
@@ -36,7 +33,7 @@
 // freshness keeps how old the last sync is. It belongs to the goroutine of Run.
 type freshness struct {
 	asOf   time.Time // when the poll of the last sync was sent; or when the watcher was made
-	silent bool      // the last sync is older than silentAfter, and that was logged
+	silent bool      // the last sync is older than balancer.StaleSync, and that was logged
 }
 
 // note takes in the end of a poll, and logs when discovery falls silent or is heard again.
@@ -48,7 +45,7 @@
 	}
 	age := now.Sub(f.asOf)
 	metrics.SyncAge.Observe(age)
-	if age < silentAfter {
+	if age < balancer.StaleSync {
 		return
 	}
 	if !f.silent {
--- a/internal/soak/incident3_test.go
+++ b/internal/soak/incident3_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"testing"
 	"time"
 
@@ -24,14 +25,19 @@
 // outageRun is a run with an outage of discovery.
 type outageRun struct {
 	dispatchers int
-	workers     int
+	workers     int // processes
+	members     int // workers of each process; 0: one
+	functions   int // that are called; 0: a dozen
+	limits      Limits
 	draining    int
 	rate        float64 // requests a second of each dispatcher
 	kind        OutageKind
 	quiet       bool
+	outages     int // one after the other; 0: one
+	restarts    int // dispatchers that are restarted in each of them, every other one without a warning
 }
 
-// play plays the run and returns what was recorded, and when the outage began and ended.
+// play plays the run and returns what was recorded, and when the last outage began and ended.
 func (r outageRun) play(t *testing.T) (h *History, begin, end time.Duration) {
 	t.Helper()
 	rules := DefaultRules()
@@ -41,12 +47,26 @@
 	worker.Work = 20 * time.Millisecond
 	worker.KeepAlive = 10 * time.Second
 	f, err := Start(Config{Program: dispatcherProgram(t), Folder: t.TempDir(), Dispatchers: r.dispatchers, Workers: r.workers,
-		Seed: 1, Rules: rules, Worker: worker, Deadline: time.Second})
+		Members: max(1, r.members), Seed: 1, Rules: rules, Worker: worker, Deadline: time.Second, Limits: r.limits})
 	require.NoError(t, err)
 	t.Cleanup(f.Close)
-	load := Load{Rate: r.rate, Functions: 12, MinWait: 500 * time.Millisecond, MaxWait: time.Second}
+	load := Load{Rate: r.rate, Functions: cmp.Or(r.functions, 12), MinWait: 500 * time.Millisecond, MaxWait: time.Second}
 	f.StartClients(load)
 	time.Sleep(outageAfter)
+	for number := range max(1, r.outages) {
+		begin, end = r.playOutage(t, f, load, number)
+		time.Sleep(returnWithin + time.Second)
+	}
+	h, err = f.Finish()
+	require.NoError(t, err)
+	t.Log(Counts(h))
+	logMetrics(t, f)
+	return h, begin, end
+}
+
+// playOutage plays one of the outages, in which the next workers drain, and returns when it began and ended.
+func (r outageRun) playOutage(t *testing.T, f *Fleet, load Load, number int) (begin, end time.Duration) {
+	t.Helper()
 	begin = Now()
 	ended := make(chan error, 1)
 	go func() { ended <- f.BreakDiscovery(r.kind, f.allDispatchers(), outageLength) }()
@@ -57,27 +77,26 @@
 		f.SetLoad(silent)
 	}
 	time.Sleep(begin + drainAfter - Now())
-	for i := range r.draining {
-		f.DrainWorker(i)
+	draining := make([]int, r.draining)
+	for i := range draining {
+		draining[i] = (number*r.draining + i) % r.workers
+		f.DrainWorker(draining[i])
 	}
 	if r.quiet {
 		time.Sleep(begin + quietUntil - Now())
 		f.SetLoad(load)
 	}
+	for dispatcher := range r.restarts {
+		require.NoError(t, f.RestartDispatcher(dispatcher, dispatcher%2 == 0, nil))
+	}
 	time.Sleep(begin + outageLength - time.Second - Now())
-	for i := range r.draining {
-		f.RemoveWorker(i)
-		require.NoError(t, f.ReturnWorker(i))
+	for _, worker := range draining {
+		f.RemoveWorker(worker)
+		require.NoError(t, f.ReturnWorker(worker))
 	}
 	assert.True(t, askReady(f.dispatcherAddr(0)), "all dispatchers miss discovery at once: none stands aside for it")
 	require.NoError(t, <-ended)
-	end = Now()
-	time.Sleep(returnWithin + time.Second)
-	h, err = f.Finish()
-	require.NoError(t, err)
-	t.Log(Counts(h))
-	logMetrics(t, f)
-	return h, begin, end
+	return begin, Now()
 }
 
 // servedShare returns the share of the requests of a time that were served.
@@ -155,8 +174,8 @@
 // drain: calls of each dispatcher to each worker are rare, so that few of them tell which workers are still ready.
 func TestFleetOfLittleTrafficServesOnWithoutDiscovery(t *testing.T) {
 	for name, run := range map[string]outageRun{
-		"two drain":   {dispatchers: 54, workers: 22, draining: 2, rate: 3, kind: OutageRefused},
-		"seven drain": {dispatchers: 54, workers: 22, draining: 7, rate: 3, kind: OutageSilent},
+		"two drain, twice": {dispatchers: 54, workers: 22, draining: 2, rate: 3, kind: OutageRefused, outages: 2, restarts: 4},
+		"seven drain":      {dispatchers: 54, workers: 22, draining: 7, rate: 3, kind: OutageSilent},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -168,6 +187,15 @@
 	}
 }
 
+// A fleet with many more workers than each dispatcher has connections serves on as well: at least half of the share that it
+// serves while discovery works. Known to be red: see incident 3.
+func TestLargeFleetServesOnWithoutDiscovery(t *testing.T) {
+	h, _, _ := outageRun{dispatchers: 3, workers: 4, members: 250, functions: 2000, rate: 40, kind: OutageRefused,
+		limits: Limits{Cores: 0.4, MemoryMB: 64, Sockets: 192}}.play(t)
+	t.Log(h.ServedByDiscovery())
+	assert.Empty(t, Check(h))
+}
+
 // A worker that drains, ends and is started again while discovery tells nothing counts as told of its drain 7 s after that, and as
 // told of its return 7 s after that: what it serves in between is no proof that it may be used (found by the soak).
 func TestNothingNewToAWorkerWhoseReturnWasNotTold(t *testing.T) {
