--- a/cmd/dispatcher/invoke.go
+++ b/cmd/dispatcher/invoke.go
@@ -72,7 +72,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if s.control, err = control.Listen(invokeConfig.Control, control.ForStore(invocations, s.executor.Clock(), s.executor.Redrive)); err != nil {
+	operations := control.ForStore(invocations, s.executor.Clock(), s.executor.Redrive)
+	if s.control, err = control.Listen(invokeConfig.Control, operations); err != nil {
 		return nil, err
 	}
 	listener, err := net.Listen("tcp", invokeConfig.Listen)
--- a/cmd/dispatcher/server.go
+++ b/cmd/dispatcher/server.go
@@ -81,7 +81,8 @@
 	}
 }
 
-// newServer reads the configuration, and the operator's file if there is one, applies its resource limits to the process, and starts the core.
+// newServer reads the configuration, and the operator's file if there is one, applies its resource limits to the process,
+// and starts the core.
 func newServer(configPath, invokeFile string) (*server, error) {
 	conf, err := config.Read(configPath)
 	if err != nil {
--- a/internal/frontend/resp/crossing_test.go
+++ b/internal/frontend/resp/crossing_test.go
@@ -7,10 +7,9 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
-	"golang.org/x/sys/unix"
 
 	"kitefall/internal/fakes"
+	"kitefall/internal/tcpstate"
 )
 
 const crossings = 1000
@@ -29,7 +28,7 @@
 		received, _ := io.ReadAll(c.reader)
 		switch {
 		case err != nil || string(received) != encodeCommand("1", "yes", "", ""): // it was closed before, or both were answered
-		case wasReset(t, c.Conn.(*net.TCPConn)):
+		case wasReset(c.Conn.(*net.TCPConn)):
 			unread++
 		default:
 			dropped++
@@ -47,17 +46,9 @@
 }
 
 // wasReset reports whether the peer's machine has reset a connection, within a moment.
-func wasReset(t *testing.T, conn *net.TCPConn) bool {
-	t.Helper()
-	raw, err := conn.SyscallConn()
-	require.NoError(t, err)
+func wasReset(conn *net.TCPConn) bool {
 	for begin := time.Now(); time.Since(begin) < 20*time.Millisecond; time.Sleep(100 * time.Microsecond) {
-		reset := false
-		require.NoError(t, raw.Control(func(descriptor uintptr) {
-			info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
-			reset = err == nil && info.State == unix.BPF_TCP_CLOSE
-		}))
-		if reset {
+		if tcpstate.WasReset(conn) {
 			return true
 		}
 	}
--- a/internal/frontend/resp/server.go
+++ b/internal/frontend/resp/server.go
@@ -74,8 +74,8 @@
 	requestFailed *logthrottle.Logger
 }
 
-// Serve accepts connections on ln, and takes their descriptors from a share. It returns once ln is closed and the last connection has
-// ended. It must be called once only.
+// Serve accepts connections on ln, and takes their descriptors from a share. It returns once ln is closed and the last
+// connection has ended. It must be called once only.
 func (s *Server) Serve(ln net.Listener, share *descriptors.Share) error {
 	s.descriptors = share
 	s.init()
--- a/internal/soak/oracle_serving.go
+++ b/internal/soak/oracle_serving.go
@@ -75,6 +75,7 @@
 	if min(long.asked, usual.asked) < minJudgedServes || long.share() >= minServedPart*usual.share() {
 		return nil
 	}
-	return []Violation{{RuleServe, h.Outages[0].Begin, fmt.Sprintf("%d of %d requests served while discovery was broken for long, "+
-		"%d of %d while it worked", long.served, long.asked, usual.served, usual.asked)}}
+	text := fmt.Sprintf("%d of %d requests served while discovery was broken for long, %d of %d while it worked",
+		long.served, long.asked, usual.served, usual.asked)
+	return []Violation{{RuleServe, h.Outages[0].Begin, text}}
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -97,7 +97,8 @@
 // RandomPlan draws a plan from a seed. Faults overlap: each lasts up to seconds, and there are several in each second.
 func RandomPlan(seed uint64, length time.Duration) Plan {
 	random := rand.New(rand.NewPCG(seed, 1))
-	deadlines := []time.Duration{250 * time.Millisecond, 600 * time.Millisecond, time.Second, 2 * time.Second, 2500 * time.Millisecond, 5 * time.Second}
+	deadlines := []time.Duration{250 * time.Millisecond, 600 * time.Millisecond, time.Second, 2 * time.Second,
+		2500 * time.Millisecond, 5 * time.Second}
 	graces := []time.Duration{200 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second}
 	warmths := []time.Duration{4 * time.Second, 16 * time.Second}
 	plan := Plan{
@@ -133,7 +134,8 @@
 		plan.Steps = append(plan.Steps, randomSteps(random, plan.Length))
 	}
 	kinds := []FaultKind{FaultReload, FaultReload, FaultTerminate, FaultKill, FaultCrashWorker, FaultReplaceWorker,
-		FaultHangWorker, FaultFreezeWorker, FaultFlush, FaultReset, FaultReset, FaultOutage, FaultNewFunctions, FaultBurst, FaultCrashWorker, FaultBurst,
+		FaultHangWorker, FaultFreezeWorker, FaultFlush, FaultReset, FaultReset, FaultOutage, FaultNewFunctions,
+		FaultBurst, FaultCrashWorker, FaultBurst,
 		FaultEvacuate, FaultEvacuate, FaultSeries, FaultSeries, FaultCrowd, FaultOutage, FaultDrainWorker, FaultDrainWorker,
 		FaultReuseAddress, FaultQuiet}
 	for range int(plan.Length.Seconds() * (1.5 + 2*random.Float64())) {
--- a/internal/soak/player.go
+++ b/internal/soak/player.go
@@ -8,8 +8,20 @@
 
 // Run plays a plan with a dispatcher's program, with records and logs in a folder.
 func Run(program, folder string, plan Plan) (*History, error) {
-	config := Config{Program: program, Folder: folder, Dispatchers: plan.Dispatchers, Workers: plan.Workers,
-		Members: plan.Members, Limits: plan.Limits, Deadline: plan.Deadline, Spares: maxSpares, Seed: plan.Seed, Rules: DefaultRules(), Worker: DefaultWorker(), Steps: plan.Steps}
+	config := Config{
+		Program:     program,
+		Folder:      folder,
+		Dispatchers: plan.Dispatchers,
+		Workers:     plan.Workers,
+		Members:     plan.Members,
+		Limits:      plan.Limits,
+		Deadline:    plan.Deadline,
+		Spares:      maxSpares,
+		Seed:        plan.Seed,
+		Rules:       DefaultRules(),
+		Worker:      DefaultWorker(),
+		Steps:       plan.Steps,
+	}
 	config.Rules.DrainGrace = plan.Grace
 	config.Rules.WarmAfter = plan.WarmAfter
 	config.Worker.ErrorRate = 0.01
--- a/internal/soak/reset.go
+++ b/internal/soak/reset.go
@@ -6,7 +6,7 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"kitefall/internal/tcpstate"
 )
 
 // How long a reset of the peer's machine is waited for after the end of a connection, and how often it is looked for.
@@ -24,25 +24,10 @@
 		return true
 	}
 	for waited := time.Duration(0); waited < resetWait; waited += resetInterval {
-		if wasReset(conn) {
+		if tcpstate.WasReset(conn) {
 			return true
 		}
 		time.Sleep(resetInterval)
 	}
-	return wasReset(conn)
-}
-
-// wasReset reports whether the system holds a connection as closed, though this side has not closed it: after the peer's end
-// alone it waits for this side (source: RFC 9293, states; tcp(7), TCP_INFO).
-func wasReset(conn *net.TCPConn) bool {
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	reset := false
-	raw.Control(func(descriptor uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
-		reset = err == nil && info.State == unix.BPF_TCP_CLOSE
-	})
-	return reset
+	return tcpstate.WasReset(conn)
 }
--- a/internal/soak/workerhandle.go
+++ b/internal/soak/workerhandle.go
@@ -11,7 +11,8 @@
 	"time"
 )
 
-// drainTail is how long beyond the grace a worker that drains still accepts calls; as long was measured on the platform's bench.
+// drainTail is how long beyond the grace a worker that drains still accepts calls; as long was measured on the platform's
+// bench.
 const drainTail = 500 * time.Millisecond
 
 // membersPerNetwork is how many workers have addresses with the same third number.
--- a/internal/worker/closereason.go
+++ b/internal/worker/closereason.go
@@ -49,9 +49,19 @@
 	}
 }
 
+// shortages are the errors that mean that this process or its machine lacks something.
+var shortages = []error{
+	descriptors.ErrNone,
+	syscall.EMFILE,
+	syscall.ENFILE,
+	syscall.ENOBUFS,
+	syscall.ENOMEM,
+	syscall.EADDRNOTAVAIL,
+}
+
 // isShortage reports whether an error means that this process lacks something: the peer is not to blame.
 func isShortage(err error) bool {
-	for _, shortage := range []error{descriptors.ErrNone, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+	for _, shortage := range shortages {
 		if errors.Is(err, shortage) {
 			return true
 		}
--- a/internal/worker/connread.go
+++ b/internal/worker/connread.go
@@ -56,7 +56,8 @@
 	return nil
 }
 
-// noteAnswer notes that the worker has answered. It returns the request in flight under the id, or nil, and completes its result.
+// noteAnswer notes that the worker has answered. It returns the request in flight under the id, or nil, and completes its
+// result.
 func (c *conn) noteAnswer(id uint64, result *Result, now time.Time) *PendingRequest {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
