--- a/internal/gatedconn/conn.go
+++ b/internal/gatedconn/conn.go
@@ -106,7 +106,7 @@
 	case errors.Is(err, syscall.EAGAIN):
 		return 0, false, nil
 	case err != nil:
-		return 0, true, os.NewSyscallError("read", err)
+		return 0, true, c.readError(err)
 	case n == 0:
 		return 0, true, io.EOF
 	}
@@ -114,6 +114,17 @@
 	return n, true, err
 }
 
+// readError returns an error of the system as net.Conn does.
+func (c *Conn) readError(err error) error {
+	return &net.OpError{
+		Op:     "read",
+		Net:    c.LocalAddr().Network(),
+		Source: c.LocalAddr(),
+		Addr:   c.RemoteAddr(),
+		Err:    os.NewSyscallError("read", err),
+	}
+}
+
 // StopReadingIf asks whether nothing is in use, while no byte is read, and has Read fail from then on if so. unused is told
 // whether the system holds bytes that were not read yet. It returns what unused returned.
 func (c *Conn) StopReadingIf(unused func(unread bool) bool) bool {
--- a/internal/gatedconn/conn_test.go
+++ b/internal/gatedconn/conn_test.go
@@ -71,6 +71,17 @@
 	assert.ErrorIs(t, err, net.ErrClosed)
 }
 
+func TestReadTellsOfAReset(t *testing.T) {
+	client, gated := pair(t, ignore)
+	require.NoError(t, client.(*net.TCPConn).SetLinger(0))
+	require.NoError(t, client.Close())
+	_, err := gated.Read(make([]byte, 8))
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+	var operation *net.OpError
+	require.ErrorAs(t, err, &operation)
+	assert.Equal(t, "read", operation.Op)
+}
+
 // After the decision nothing is read, also by a Read that waits already; so the peer learns that its bytes had no effect.
 func TestNothingIsReadAfterTheDecision(t *testing.T) {
 	client, gated := pair(t, ignore)
