--- a/internal/frontend/resp/crossing_test.go
+++ b/internal/frontend/resp/crossing_test.go
@@ -3,11 +3,13 @@
 import (
 	"io"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 
+	"kitefall/internal/drain"
 	"kitefall/internal/fakes"
 	"kitefall/internal/tcpstate"
 )
@@ -39,6 +41,35 @@
 	assert.Zero(t, dropped)
 }
 
+// The same where the rest of a request comes as the time for its connection is over.
+func TestRequestThatIsCompletedAtTheEndIsNotClosedWithoutAnAnswer(t *testing.T) {
+	const span = 40 * time.Millisecond
+	server, connect := startDraining(t, drain.Schedule{CloseBy: span}, fakes.NewWorker(t))
+	server.DrainState.Evacuate(time.Now().Add(-time.Minute))
+	for round := range 20 {
+		var sent []*client
+		var pauses sync.WaitGroup
+		begin := time.Now()
+		for i := range defaultMaxConns / 2 {
+			c := connect()
+			encoded := encodeCommand("CHECK", "1", "")
+			c.sendRaw(encoded[:9])
+			sent = append(sent, c)
+			pauses.Go(func() {
+				time.Sleep(time.Until(begin.Add(span + time.Duration(32*(round%5)+i)*200*time.Microsecond)))
+				io.WriteString(c, encoded[9:]) // which fails where the connection is closed already
+			})
+		}
+		pauses.Wait()
+		for _, c := range sent {
+			received, _ := io.ReadAll(c.reader)
+			unanswered := string(received) != encodeCommand("1", "yes", "", "")
+			assert.False(t, unanswered && !wasReset(c.Conn.(*net.TCPConn)), "it was read and has no answer")
+			c.Close()
+		}
+	}
+}
+
 // spin waits more exactly than a timer does.
 func spin(length time.Duration) {
 	for begin := time.Now(); time.Since(begin) < length; {
