Frontend: answer what was read when the time for a connection is over

The last close is a close of an idle connection first, which stops the reading in the same step: the rest of a request in part stays unread then, and the client learns that.

Ruled out: waiting for a request in part until the kill (it would be lost there).

--- a/internal/frontend/resp/drain.go
+++ b/internal/frontend/resp/drain.go
@@ -60,10 +60,26 @@
 		}
 		conn.closeIfIdle(closedWhenDraining)
 	case drain.Close:
-		if open > 0 { // they were answered at the verdict before this one
+		conn.closeOverdue(open)
+	}
+}
+
+// closeOverdue closes a connection whose time is over and that had requests open. What was read up to now is answered first,
+// until the next sweep; the rest of a request that came in part is not waited for.
+func (t *trackedConn) closeOverdue(open int) {
+	if t.closeIfIdle(closedOverdue) {
+		return
+	}
+	if t.overdue {
+		if open > 0 { // they came after the last sweep, which answered all
 			metrics.Violations.Add(violationClientHeld)
 		}
-		conn.closeAnyway(closedOverdue)
+		t.closeAnyway(closedOverdue)
+		return
+	}
+	t.overdue = true
+	if client := t.attached(); client != nil {
+		client.failOpenRequests()
 	}
 }
 
--- a/internal/frontend/resp/trackedconn.go
+++ b/internal/frontend/resp/trackedconn.go
@@ -21,6 +21,9 @@
 	requestBegan atomic.Int64
 	unhandled    atomic.Int64 // requests that were read whole and not looked at yet
 
+	// overdue says that the time for the connection was over at the last sweep; it belongs to the goroutine that sweeps.
+	overdue bool
+
 	client  *clientConn // from the first request on; guarded by server.mu
 	closed  bool        // guarded by server.mu
 	closing sync.Once
