--- a/internal/frontend/resp/drain.go
+++ b/internal/frontend/resp/drain.go
@@ -52,6 +52,7 @@
 	}
 	switch s.DrainState.Judge(now, conn.acceptedAt, lastRequest) {
 	case drain.Keep:
+		conn.overdue = false // it was spared by a call to take clients again
 	case drain.CloseIfIdle:
 		conn.closeIfIdle(closedWhenDraining)
 	case drain.AnswerAndClose:
@@ -64,8 +65,8 @@
 	}
 }
 
-// closeOverdue closes a connection whose time is over and that had requests open. What was read up to now is answered first,
-// until the next sweep; the rest of a request that came in part is not waited for.
+// closeOverdue closes a connection whose time is over. What was read up to now is answered first, until the next sweep; the
+// rest of a request that came in part is not waited for. open is how many requests had no answer when this sweep began.
 func (t *trackedConn) closeOverdue(open int) {
 	if t.closeIfIdle(closedOverdue) {
 		return
--- a/internal/soak/clientconn.go
+++ b/internal/soak/clientconn.go
@@ -140,14 +140,9 @@
 		}
 	}
 	c.open = map[int]*Request{}
-	earliest := now
-	for _, r := range unanswered {
-		earliest = min(earliest, r.Sent)
-	}
 	for _, r := range unanswered {
 		r.ConnEnded = now
 		r.OpenAtEnd = len(unanswered)
-		r.EarliestOpen = earliest
 	}
 	return unanswered
 }
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -71,11 +71,10 @@
 	WrongBody  bool            // a served answer that no worker made for this request
 	Left       time.Duration   // the client cancelled it or closed its connection; 0: it did not
 	ConnEnded  time.Duration   // the dispatcher ended the connection before any answer; 0: it did not
-	// What was open on the connection, without an answer, when the dispatcher ended it: how many requests, and when the
-	// earliest of them was sent. EndedUnread says that the dispatcher had not read the last of them.
-	OpenAtEnd    int
-	EarliestOpen time.Duration
-	EndedUnread  bool
+	// OpenAtEnd is how many requests had no answer when the dispatcher ended the connection. EndedUnread says that the
+	// dispatcher had not read the last of them.
+	OpenAtEnd   int
+	EndedUnread bool
 }
 
 // served reports whether the first answer was that it is served.
--- a/internal/worker/closereason.go
+++ b/internal/worker/closereason.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"os"
+	"slices"
 	"syscall"
 
 	"kitefall/internal/descriptors"
@@ -61,12 +62,7 @@
 
 // isShortage reports whether an error means that this process lacks something: the peer is not to blame.
 func isShortage(err error) bool {
-	for _, shortage := range shortages {
-		if errors.Is(err, shortage) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(shortages, func(shortage error) bool { return errors.Is(err, shortage) })
 }
 
 // count counts a connection that has ended for the reason.
