Worker tests: read the call before its connection is closed; no wait without a limit

TestEndOfAWorkersProcessIsTold closed the connection as soon as it was accepted. Beside load the call was not written by then; a call that was not written whole moves to a new connection, as it should, and the test waited for ever for an answer on a connection that it never accepted (line 123 of its dump).

With the report of a closed connection taken out of conn.go it fails. The refused address is one that no other process can be given meanwhile.

--- a/internal/dispatch/loopback_test.go
+++ b/internal/dispatch/loopback_test.go
@@ -73,7 +73,7 @@
 			cancelled.Cancel()
 			close(resume)
 
-			assert.Equal(t, "waiting", <-firstBody)
+			assert.Equal(t, "waiting", fakes.Receive(t, firstBody))
 			oneInFlight := func() bool { return core.InFlight() == 1 }
 			require.Eventually(t, oneInFlight, time.Until(fakes.Deadline()), time.Millisecond)
 		})
@@ -88,7 +88,7 @@
 	submitted := newCall(1, "x", func(a call.Answer) { answered <- a })
 	submitted.BeforeFirstAttempt = func() error { return errors.New("disk full") }
 	submit(t, core, submitted)
-	assert.Equal(t, call.Answer{Outcome: call.Rejected}, <-answered)
+	assert.Equal(t, call.Answer{Outcome: call.Rejected}, fakes.Receive(t, answered))
 	assert.Zero(t, core.InFlight())
 	assert.Zero(t, w.CallCount("x"))
 }
@@ -118,7 +118,7 @@
 			<-persisting
 			handle.Cancel()
 			close(persisted)
-			outcome := <-outcomes
+			outcome := fakes.Receive(t, outcomes)
 			assert.Equal(t, balancer.NotSent, outcome.Status)
 			assert.True(t, outcome.Answered, "nobody waits for it any more")
 			assert.Zero(t, w.CallCount("x"))
@@ -136,7 +136,7 @@
 	answered := make(chan call.Answer, 1)
 	handle := submit(t, core, newCall(1, "x", func(a call.Answer) { answered <- a }))
 	w.Next().OK("done")
-	assert.Equal(t, call.Served, (<-answered).Outcome)
+	assert.Equal(t, call.Served, fakes.Receive(t, answered).Outcome)
 	assert.True(t, handle.Finished())
 }
 
@@ -197,7 +197,7 @@
 	first := w.Next()
 	from := first.From()
 	first.OK("")
-	require.Equal(t, call.Served, (<-answered).Outcome)
+	require.Equal(t, call.Served, fakes.Receive(t, answered).Outcome)
 
 	endpoint := fakes.Endpoints(w).Endpoints[0]
 	endpoint.Addr = ""
@@ -206,7 +206,7 @@
 	second := w.Next()
 	assert.Equal(t, from, second.From())
 	second.OK("")
-	require.Equal(t, call.Served, (<-answered).Outcome)
+	require.Equal(t, call.Served, fakes.Receive(t, answered).Outcome)
 }
 
 // Where one update names a worker as draining and as ready, the last entry counts, in either order.
@@ -224,9 +224,9 @@
 		submit(t, core, submitted)
 		if endpoints[1].State == balancer.Ready {
 			w.Next().OK("")
-			assert.Equal(t, call.Served, (<-answered).Outcome)
+			assert.Equal(t, call.Served, fakes.Receive(t, answered).Outcome)
 		} else {
-			assert.Equal(t, call.Rejected, (<-answered).Outcome)
+			assert.Equal(t, call.Rejected, fakes.Receive(t, answered).Outcome)
 			assert.Zero(t, w.CallCount("x"))
 		}
 	}
@@ -243,17 +243,17 @@
 	core.UpdateEndpoints(fakes.Endpoints(other))
 	submit(t, core, newCall(1, "x", done))
 	other.Next().OK("done")
-	assert.Equal(t, call.Served, (<-answered).Outcome)
+	assert.Equal(t, call.Served, fakes.Receive(t, answered).Outcome)
 
 	core.UpdateEndpoints(discovery.Update{Scope: balancer.ScopeFull}) // names no worker: calls are rejected
 	submitted := newCall(2, "y", done)
 	submitted.Deadline = time.Now().Add(200 * time.Millisecond)
 	submit(t, core, submitted)
-	assert.Equal(t, call.Rejected, (<-answered).Outcome)
+	assert.Equal(t, call.Rejected, fakes.Receive(t, answered).Outcome)
 
 	core.UpdateEndpoints(fakes.Endpoints(w))
 	submit(t, core, newCall(3, "z", done))
 	w.Next().OK("done")
-	assert.Equal(t, call.Served, (<-answered).Outcome)
+	assert.Equal(t, call.Served, fakes.Receive(t, answered).Outcome)
 	assert.Zero(t, w.CallCount("x")+w.CallCount("y")+other.CallCount("y")+other.CallCount("z"))
 }
--- a/internal/fakes/worker.go
+++ b/internal/fakes/worker.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -21,6 +22,18 @@
 // Deadline returns the time at which a test that waits for something from now on gives up.
 func Deadline() time.Time { return time.Now().Add(waitLimit) }
 
+// Receive returns what arrives at a channel. If nothing does in time, the test fails and the
+// zero value is returned.
+func Receive[T any](t testing.TB, from <-chan T) (received T) {
+	t.Helper()
+	select {
+	case received = <-from:
+	case <-time.After(waitLimit):
+		assert.Fail(t, "nothing was received in time")
+	}
+	return received
+}
+
 // Worker listens like a worker. It answers load orders at once; calls wait for the test. Its methods are safe for
 // concurrent use.
 type Worker struct {
@@ -28,7 +41,8 @@
 	Calls     chan *Call  // calls that have arrived completely
 	Cancelled chan uint64 // ids of calls that the dispatcher has cancelled
 
-	t testing.TB
+	t        testing.TB
+	listener net.Listener
 
 	mu             sync.Mutex
 	callCounts     map[string]int  // by body
@@ -46,17 +60,18 @@
 		Calls:      make(chan *Call, channelSize),
 		Cancelled:  make(chan uint64, channelSize),
 		t:          t,
+		listener:   listener,
 		callCounts: map[string]int{},
 	}
-	t.Cleanup(func() { listener.Close() })
-	go w.accept(listener)
+	t.Cleanup(w.StopListening)
+	go w.accept()
 	return w
 }
 
 // accept serves connections until the listener is closed.
-func (w *Worker) accept(listener net.Listener) {
+func (w *Worker) accept() {
 	for {
-		conn, err := listener.Accept()
+		conn, err := w.listener.Accept()
 		if err != nil {
 			return
 		}
@@ -156,6 +171,9 @@
 	}
 }
 
+// StopListening has further connections refused. Those that were accepted stay open.
+func (w *Worker) StopListening() { w.listener.Close() }
+
 // FirstCallAtEither returns the next call to arrive at one of two workers, and the other worker. The test fails if none
 // does.
 func FirstCallAtEither(a, b *Worker) (*Call, *Worker) {
@@ -191,6 +209,9 @@
 // From returns the address that the call came from, which differs between connections.
 func (c *Call) From() string { return c.conn.RemoteAddr().String() }
 
+// CloseConn closes the connection, as a worker does that ends in good order.
+func (c *Call) CloseConn() { c.conn.Close() }
+
 // ResetConn resets the connection, as the kernel does for a process that dies.
 func (c *Call) ResetConn() {
 	c.conn.(*net.TCPConn).SetLinger(0)
--- a/internal/fakes/worker_test.go
+++ b/internal/fakes/worker_test.go
@@ -37,13 +37,13 @@
 	w := fakes.NewWorker(t)
 	pool := newPool(t, w)
 	w.UnloadAll()
-	assert.Equal(t, balancer.Miss, (<-startCall(t, pool, 1, "x")).Status)
+	assert.Equal(t, balancer.Miss, fakes.Receive(t, startCall(t, pool, 1, "x")).Status)
 	assert.Zero(t, w.CallCount("x"))
 
 	loads := make(chan worker.Result, 1)
 	_, err := pool.Load(fakes.LoadOrder(testFunction), func(r worker.Result) { loads <- r })
 	require.NoError(t, err)
-	loaded := <-loads
+	loaded := fakes.Receive(t, loads)
 	assert.Equal(t, balancer.OK, loaded.Status)
 	assert.Equal(t, 1, loaded.Copies)
 	require.Len(t, w.LoadOrderTimes(), 1)
@@ -54,7 +54,7 @@
 	assert.Equal(t, uint64(2), received.ID)
 	assert.Equal(t, "x", received.Body)
 	received.OK("done")
-	served := <-result
+	served := fakes.Receive(t, result)
 	assert.Equal(t, balancer.OK, served.Status)
 	assert.Equal(t, "done", string(served.Body))
 	assert.Equal(t, 1, w.CallCount("x"))
@@ -67,9 +67,9 @@
 	received, idle := fakes.FirstCallAtEither(other, w)
 	assert.Same(t, other, idle)
 	received.Answer(fakes.CodeFull, "", "")
-	assert.Equal(t, balancer.Rejected, (<-rejected).Status)
+	assert.Equal(t, balancer.Rejected, fakes.Receive(t, rejected).Status)
 
 	broken := startCall(t, pool, 2, "x")
 	w.Next().ResetConn()
-	assert.Equal(t, balancer.Reset, (<-broken).Status)
+	assert.Equal(t, balancer.Reset, fakes.Receive(t, broken).Status)
 }
--- a/internal/frontend/resp/conn_test.go
+++ b/internal/frontend/resp/conn_test.go
@@ -76,7 +76,7 @@
 	c.sendCall(1, "consulta", "look")
 	cancelled := w.Next()
 	c.sendCommand("CANCEL", "1")
-	assert.Equal(t, cancelled.ID, <-w.Cancelled)
+	assert.Equal(t, cancelled.ID, fakes.Receive(t, w.Cancelled))
 	cancelled.OK("late")
 	c.sendCall(2, "consulta", "again")
 	w.Next().OK("in time")
@@ -90,7 +90,7 @@
 	c.sendCommand("CALL", "1", "reserva", "id=9b1f03aa5c7e2d41,wait=200,tenant=acme,key=7f3a9c21e0b4d655", "book")
 	received := w.Next()
 	assert.Equal(t, "1 fault  ", c.receive())
-	assert.Equal(t, received.ID, <-w.Cancelled)
+	assert.Equal(t, received.ID, fakes.Receive(t, w.Cancelled))
 }
 
 // Two requests in flight under one id: a worker would take them for one, and its answer could go to either.
@@ -117,7 +117,7 @@
 	c.sendCall(1, "reserva", "book")
 	received := w.Next()
 	require.NoError(t, c.Conn.(*net.TCPConn).CloseWrite())
-	assert.Equal(t, received.ID, <-w.Cancelled)
+	assert.Equal(t, received.ID, fakes.Receive(t, w.Cancelled))
 	received.OK("late")
 	_, err := c.reader.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
--- a/internal/frontend/resp/drain_test.go
+++ b/internal/frontend/resp/drain_test.go
@@ -91,7 +91,7 @@
 	assert.Equal(t, "1 fault  ", c.receive())
 	c.requireClosed()
 	assert.Less(t, time.Since(evacuated), time.Second, "long before its deadline")
-	assert.Equal(t, received.ID, <-w.Cancelled)
+	assert.Equal(t, received.ID, fakes.Receive(t, w.Cancelled))
 }
 
 // A request that would keep its connection in use past the end is refused; one with less time is served.
--- a/internal/worker/connlimit_test.go
+++ b/internal/worker/connlimit_test.go
@@ -49,7 +49,7 @@
 	pools := poolsOf(t, connections, serveAll(t, workers)...)
 	for id := range uint64(workers * rounds) {
 		_, results := call(t, pools[id%workers], id+1, fakes.Deadline())
-		assert.Equal(t, balancer.OK, (<-results).Status)
+		assert.Equal(t, balancer.OK, fakes.Receive(t, results).Status)
 		assert.LessOrEqual(t, connections.InUse(), share)
 	}
 }
@@ -63,7 +63,7 @@
 	for i, pool := range pools {
 		calls.Go(func() {
 			_, results := call(t, pool, uint64(i+1), fakes.Deadline())
-			assert.Equal(t, balancer.OK, (<-results).Status)
+			assert.Equal(t, balancer.OK, fakes.Receive(t, results).Status)
 		})
 	}
 	calls.Wait()
@@ -77,12 +77,12 @@
 	_, first := call(t, pools[0], 1, fakes.Deadline())
 	received := busy.Next()
 	_, short := call(t, pools[1], 2, fakes.Deadline())
-	assert.Equal(t, balancer.NotSent, (<-short).Status)
+	assert.Equal(t, balancer.NotSent, fakes.Receive(t, short).Status)
 	_, waiting := call(t, pools[1], 3, fakes.Deadline())
 	received.OK("")
-	assert.Equal(t, balancer.OK, (<-first).Status)
+	assert.Equal(t, balancer.OK, fakes.Receive(t, first).Status)
 	other.Next().OK("")
-	assert.Equal(t, balancer.OK, (<-waiting).Status, "it has the place of the first")
+	assert.Equal(t, balancer.OK, fakes.Receive(t, waiting).Status, "it has the place of the first")
 }
 
 // A pool that is closed while its connection waits for a descriptor takes none.
@@ -94,9 +94,9 @@
 	received := busy.Next()
 	_, results := call(t, pools[1], 2, fakes.Deadline())
 	pools[1].Close()
-	<-results
+	fakes.Receive(t, results)
 	received.OK("")
-	assert.Equal(t, balancer.OK, (<-first).Status)
+	assert.Equal(t, balancer.OK, fakes.Receive(t, first).Status)
 	pools[0].Close()
 	require.Eventually(t, func() bool { return connections.InUse() == 0 }, 10*time.Second, time.Millisecond)
 }
--- a/internal/worker/pool_test.go
+++ b/internal/worker/pool_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"testing"
 	"time"
 
@@ -13,6 +12,7 @@
 	"kitefall/internal/descriptors"
 	"kitefall/internal/fakes"
 	"kitefall/internal/permit"
+	"kitefall/internal/tcptest"
 	"kitefall/internal/worker"
 )
 
@@ -56,14 +56,14 @@
 	w := fakes.NewWorker(t)
 	pool := newPool(t, w, unchanged)
 	_, late := call(t, pool, 1, time.Now().Add(-time.Millisecond))
-	assert.Equal(t, balancer.NotSent, (<-late).Status)
+	assert.Equal(t, balancer.NotSent, fakes.Receive(t, late).Status)
 	pool.MarkUnavailable(permit.WorkerIsDraining)
 	_, drained := call(t, pool, 2, fakes.Deadline())
-	assert.Equal(t, balancer.NotSent, (<-drained).Status)
+	assert.Equal(t, balancer.NotSent, fakes.Receive(t, drained).Status)
 	loaded := make(chan worker.Result, 1)
 	_, err := pool.Load(fakes.LoadOrder(testFunction), func(r worker.Result) { loaded <- r })
 	require.NoError(t, err)
-	assert.Equal(t, balancer.Rejected, (<-loaded).Status)
+	assert.Equal(t, balancer.Rejected, fakes.Receive(t, loaded).Status)
 	pool.MarkReady(time.Time{})
 	begin := time.Now()
 	_, rejected := call(t, pool, 3, fakes.Deadline())
@@ -71,19 +71,17 @@
 	assert.Equal(t, uint64(3), received.ID, "the others were written")
 	written := time.Now()
 	received.Answer(codeRejected, "same=5", "")
-	result := <-rejected
+	result := fakes.Receive(t, rejected)
 	assert.WithinRange(t, result.WrittenAt, begin, written)
 	result.WrittenAt, result.ConnectedSince = time.Time{}, time.Time{}
 	assert.Equal(t, worker.Result{Status: balancer.Rejected, QueueDepth: 5, Body: []byte{}}, result)
 }
 
 func TestRefusedConnectionEndsCallAsConnectFailed(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	listener.Close()
+	_, accepted := tcptest.Pair(t) // nobody listens at its address, which no other test is given while it is open
 	config := fakes.PoolConfig()
-	_, results := call(t, worker.NewPool("s-1", listener.Addr().String(), &config), 1, fakes.Deadline())
-	assert.Equal(t, balancer.ConnectFailed, (<-results).Status)
+	_, results := call(t, worker.NewPool("s-1", accepted.LocalAddr().String(), &config), 1, fakes.Deadline())
+	assert.Equal(t, balancer.ConnectFailed, fakes.Receive(t, results).Status)
 }
 
 // All connections that overlap lead to one process. After a gap it may be another one at the same address.
@@ -92,7 +90,7 @@
 	pool := newPool(t, w, withConnLimit(64))
 	serve := func(results chan worker.Result) worker.Result {
 		w.Next().OK("done")
-		return <-results
+		return fakes.Receive(t, results)
 	}
 	begin := time.Now()
 	_, first := call(t, pool, 1, fakes.Deadline())
@@ -100,7 +98,7 @@
 	_, second := call(t, pool, 2, fakes.Deadline())
 	overlapping := serve(second)
 	received.OK("done")
-	assert.Equal(t, overlapping.ConnectedSince, (<-first).ConnectedSince)
+	assert.Equal(t, overlapping.ConnectedSince, fakes.Receive(t, first).ConnectedSince)
 	assert.WithinRange(t, overlapping.ConnectedSince, begin, overlapping.WrittenAt)
 	pool.Close()
 	_, third := call(t, pool, 3, fakes.Deadline())
@@ -109,23 +107,19 @@
 
 // Whoever follows a worker is told when its process may have ended: nothing listens, or its last connection is closed there.
 func TestEndOfAWorkersProcessIsTold(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	w := fakes.NewWorker(t)
 	gone := make(chan string, 4)
-	config := fakes.PoolConfig()
-	config.PeerGone = func(uid string) { gone <- uid }
-	pool := worker.NewPool("s-1", listener.Addr().String(), &config)
+	pool := newPool(t, w, func(c *worker.Config) { c.PeerGone = func(uid string) { gone <- uid } })
 	_, results := call(t, pool, 1, fakes.Deadline())
-	accepted, err := listener.Accept()
-	require.NoError(t, err)
+	received := w.Next() // a call that was not written whole before the close would move to another connection
 	assert.Empty(t, gone)
-	accepted.Close()
-	assert.Equal(t, balancer.Reset, (<-results).Status)
-	assert.Equal(t, "s-1", <-gone)
-	listener.Close()
+	received.CloseConn()
+	assert.Equal(t, balancer.Reset, fakes.Receive(t, results).Status)
+	assert.Equal(t, "s-1", fakes.Receive(t, gone))
+	w.StopListening()
 	_, results = call(t, pool, 2, fakes.Deadline())
-	assert.Equal(t, balancer.ConnectFailed, (<-results).Status)
-	assert.Equal(t, "s-1", <-gone)
+	assert.Equal(t, balancer.ConnectFailed, fakes.Receive(t, results).Status)
+	assert.Equal(t, "s-1", fakes.Receive(t, gone))
 	pool.Close()
 	assert.Empty(t, gone, "closed here")
 }
@@ -137,12 +131,12 @@
 	request, _ := call(t, pool, 1, fakes.Deadline())
 	first := w.Next()
 	assert.True(t, pool.Cancel(request), "it was written")
-	assert.Equal(t, uint64(1), <-w.Cancelled)
+	assert.Equal(t, uint64(1), fakes.Receive(t, w.Cancelled))
 	_, results := call(t, pool, 1, fakes.Deadline())
 	second := w.Next()
 	first.OK("late")
 	second.OK("in time")
-	assert.Equal(t, "in time", string((<-results).Body))
+	assert.Equal(t, "in time", string(fakes.Receive(t, results).Body))
 }
 
 // Where a handshake has its cost and connections do not break, a second connection would be wasted: requests share one.
@@ -160,8 +154,8 @@
 	received, results := callTwice()
 	require.Equal(t, received[0].From(), received[1].From(), "separate connections, though none ever broke")
 	received[0].ResetConn()
-	assert.Equal(t, balancer.Reset, (<-results[0]).Status)
-	assert.Equal(t, balancer.Reset, (<-results[1]).Status)
+	assert.Equal(t, balancer.Reset, fakes.Receive(t, results[0]).Status)
+	assert.Equal(t, balancer.Reset, fakes.Receive(t, results[1]).Status)
 	received, _ = callTwice()
 	assert.NotEqual(t, received[0].From(), received[1].From(), "shared, though connections break")
 }
@@ -172,11 +166,11 @@
 	pool := newPool(t, w, withConnLimit(64))
 	answered, first := call(t, pool, 1, fakes.Deadline())
 	w.Next().OK("first")
-	<-first
+	fakes.Receive(t, first)
 	_, second := call(t, pool, 1, fakes.Deadline())
 	pool.Cancel(answered)
 	w.Next().OK("second")
-	assert.Equal(t, "second", string((<-second).Body))
+	assert.Equal(t, "second", string(fakes.Receive(t, second).Body))
 }
 
 // A worker that was removed is sent nothing more, though another one may listen at its address by now.
@@ -192,7 +186,7 @@
 	t.Cleanup(successor.Close)
 	_, results := call(t, successor, 2, fakes.Deadline())
 	w.Next().OK("")
-	assert.Equal(t, balancer.OK, (<-results).Status)
+	assert.Equal(t, balancer.OK, fakes.Receive(t, results).Status)
 }
 
 // A frame that begins and stops short must not hold its connection until the deadline of each call.
@@ -202,7 +196,7 @@
 	_, results := call(t, pool, 1, time.Now().Add(time.Hour))
 	received := w.Next()
 	received.WriteRaw(fakes.Frame(codeOK, received.ID, "remark=hot", "done")[:20])
-	assert.Equal(t, balancer.Reset, (<-results).Status)
+	assert.Equal(t, balancer.Reset, fakes.Receive(t, results).Status)
 }
 
 // A second copy of a miss must not pass for the answer to the call when it is tried there again.
@@ -212,15 +206,15 @@
 	_, missed := call(t, pool, 1, fakes.Deadline())
 	first := w.Next()
 	first.Answer(codeMiss, "", "")
-	require.Equal(t, balancer.Miss, (<-missed).Status)
+	require.Equal(t, balancer.Miss, fakes.Receive(t, missed).Status)
 	_, retried := call(t, pool, 1, fakes.Deadline())
 	retry := w.Next()
 	first.Answer(codeMiss, "", "")
 	_, other := call(t, pool, 2, fakes.Deadline()) // on the first connection, behind the second copy
 	w.Next().OK("")
-	require.Equal(t, balancer.OK, (<-other).Status)
+	require.Equal(t, balancer.OK, fakes.Receive(t, other).Status)
 	retry.Answer(codeOK, "", "done")
-	assert.Equal(t, "done", string((<-retried).Body))
+	assert.Equal(t, "done", string(fakes.Receive(t, retried).Body))
 }
 
 // An answer to an id that is not in flight, ahead of a good one, does no harm.
@@ -230,7 +224,7 @@
 	unknown := fakes.Frame(codeOK, 99, "remark=hot", "whose")
 	good := fakes.Frame(codeOK, 1, "remark=hot", "done")
 	w.Next().WriteRaw(append(unknown, good...))
-	assert.Equal(t, "done", string((<-results).Body))
+	assert.Equal(t, "done", string(fakes.Receive(t, results).Body))
 }
 
 // Calls are kept on separate connections while the connection limit allows it, so that one break ends one call. At the
@@ -245,9 +239,9 @@
 			_, other := call(t, pool, 2, fakes.Deadline())
 			second := w.Next()
 			first.ResetConn()
-			assert.Equal(t, balancer.Reset, (<-broken).Status)
+			assert.Equal(t, balancer.Reset, fakes.Receive(t, broken).Status)
 			second.OK("")
-			assert.Equal(t, statusOfOther, (<-other).Status)
+			assert.Equal(t, statusOfOther, fakes.Receive(t, other).Status)
 		})
 	}
 }
