Workers: connections that are reused outlast those that were used once

Every call that passed by a worker closed the connection that had been idle longest, so that all were made anew within a second. None was from before a silence of discovery, no call proved that its worker was still ready, and all leases ended.

The choice of the connection that makes room is that of a segmented LRU cache now: one that was not reused goes first; a reused one goes if these hold over three quarters, or once a connection has waited for 20 ms in vain. Also at the end of a request, so that a worker in constant use does not hold off others for ever (a test forces it).

Ruled out: keeping to connected workers in the balancer from the third second of silence on. It would serve less in short outages and is not needed: the stable connections are there before the silence.

--- a/internal/soak/incident3_test.go
+++ b/internal/soak/incident3_test.go
@@ -188,7 +188,7 @@
 }
 
 // A fleet with many more workers than each dispatcher has connections serves on as well: at least half of the share that it
-// serves while discovery works. Known to be red: see incident 3.
+// serves while discovery works. Calls prove that a worker is ready only on a connection that outlasts the silence.
 func TestLargeFleetServesOnWithoutDiscovery(t *testing.T) {
 	h, _, _ := outageRun{dispatchers: 3, workers: 4, members: 250, functions: 2000, rate: 40, kind: OutageRefused,
 		limits: Limits{Cores: 0.4, MemoryMB: 64, Sockets: 192}}.play(t)
--- a/internal/worker/conn.go
+++ b/internal/worker/conn.go
@@ -51,6 +51,7 @@
 	writing   *PendingRequest
 	createdAt time.Time
 	lastUsed  time.Time
+	answers   int // that came on it
 	// unansweredSince is when the first call was written that no answer has come after; zero if there is none.
 	unansweredSince time.Time
 }
@@ -144,7 +145,7 @@
 	if c.inFlight[request.id] == request {
 		delete(c.inFlight, request.id)
 	}
-	if c.pool.config.ConnLimit.wanted() {
+	if c.pool.config.ConnLimit.wants(c.reusedLocked()) {
 		c.makeRoomLocked()
 	}
 	return request.endLocked()
@@ -169,11 +170,14 @@
 	c.pool.config.ConnLimit.release(c)
 }
 
-// idleSince reports whether the connection is established and idle, and when it was last used.
-func (c *conn) idleSince() (lastUsed time.Time, idle bool) {
+// reusedLocked reports whether the connection has served more than one request.
+func (c *conn) reusedLocked() bool { return c.answers >= reusedAnswers }
+
+// use returns how the connection is used.
+func (c *conn) use() connUse {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	return c.lastUsed, c.mayMakeRoomLocked()
+	return connUse{idle: c.mayMakeRoomLocked(), reused: c.reusedLocked(), lastUsed: c.lastUsed}
 }
 
 // mayMakeRoomLocked reports whether the connection may be closed to give its descriptor to another.
--- a/internal/worker/connlimit.go
+++ b/internal/worker/connlimit.go
@@ -2,8 +2,6 @@
 
 import (
 	"container/list"
-	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,8 +14,8 @@
 const roomRetryInterval = 20 * time.Millisecond
 
 // ConnLimit bounds the connections of all pools together by a share of descriptors. The first connection to a worker may take
-// the place of the one that has been idle longest, at whatever worker, or waits until there is room; further ones are made
-// only while there is. It is safe for concurrent use.
+// the place of an idle one, at whatever worker, or waits until there is room; further ones are made only while there is. It is
+// safe for concurrent use.
 //
 // Locks are taken in this order: the mutex of a pool, that of the limit.
 type ConnLimit struct {
@@ -32,6 +30,7 @@
 // waiter is a connection that waits for its descriptor.
 type waiter struct {
 	conn    *conn
+	since   time.Time
 	granted chan struct{} // closed once it has it
 }
 
@@ -54,13 +53,13 @@
 // hasRoom reports whether a descriptor is likely to be granted at once.
 func (l *ConnLimit) hasRoom() bool { return !l.wanted() && l.share.HasRoom() }
 
-// acquire takes a descriptor for a connection. It closes the connection that has been idle longest if none is left, and waits
-// until the deadline, or until c is closed. It must not be called with a pool's mutex held.
+// acquire takes a descriptor for a connection. It has an idle connection closed if none is left, and waits until the deadline,
+// or until c is closed. It must not be called with a pool's mutex held.
 func (l *ConnLimit) acquire(c *conn, deadline time.Time) error {
 	if l.tryAcquire(c) {
 		return nil
 	}
-	w := &waiter{conn: c, granted: make(chan struct{})}
+	w := &waiter{conn: c, since: time.Now(), granted: make(chan struct{})}
 	l.mu.Lock()
 	place := l.waiters.PushBack(w)
 	l.waiting.Add(1)
@@ -68,7 +67,7 @@
 	retry := time.NewTicker(roomRetryInterval)
 	defer retry.Stop()
 	for time.Now().Before(deadline) {
-		l.closeLongestIdle()
+		l.makeRoom()
 		select {
 		case <-w.granted:
 			return nil
@@ -123,21 +122,3 @@
 
 // wanted reports whether a connection waits for its descriptor.
 func (l *ConnLimit) wanted() bool { return l.waiting.Load() > 0 }
-
-// closeLongestIdle closes the connection that has been idle longest, if any is idle. What is on its way to a connection keeps
-// it from being idle, so nothing is lost.
-func (l *ConnLimit) closeLongestIdle() {
-	l.mu.Lock()
-	holders := slices.Collect(maps.Keys(l.holders))
-	l.mu.Unlock()
-	var longest *conn
-	var unusedSince time.Time
-	for _, c := range holders {
-		if lastUsed, idle := c.idleSince(); idle && (longest == nil || lastUsed.Before(unusedSince)) {
-			longest, unusedSince = c, lastUsed
-		}
-	}
-	if longest != nil {
-		longest.closeForRoom()
-	}
-}
--- a/internal/worker/connlimit_test.go
+++ b/internal/worker/connlimit_test.go
@@ -100,3 +100,68 @@
 	pools[0].Close()
 	require.Eventually(t, func() bool { return connections.InUse() == 0 }, 10*time.Second, time.Millisecond)
 }
+
+// Workers that are called once do not push out the connections to those that are called again and again: only a connection
+// that outlasts a silence of discovery lets calls prove that its worker is still ready (incident 3).
+func TestReusedConnectionsOutlastOthers(t *testing.T) {
+	const share, regular, others = 8, 5, 30
+	var workers []*fakes.Worker
+	for range regular + others {
+		w := fakes.NewWorker(t)
+		w.Serve(func(c *fakes.Call) { c.OK(c.From()) })
+		workers = append(workers, w)
+	}
+	pools := poolsOf(t, descriptors.NewShare(share), workers...)
+	id := uint64(0)
+	connectionOf := func(pool *worker.Pool) string {
+		id++
+		_, results := call(t, pool, id, fakes.Deadline())
+		return string(fakes.Receive(t, results).Body)
+	}
+	var first []string
+	for _, pool := range pools[:regular] {
+		first = append(first, connectionOf(pool))
+		connectionOf(pool)
+	}
+	for _, pool := range pools[regular:] {
+		connectionOf(pool)
+	}
+	for i, pool := range pools[:regular] {
+		assert.Equal(t, first[i], connectionOf(pool), "worker %d", i)
+	}
+}
+
+// A connection that waits is not held off by one that is reused without a pause: that one goes to the next request only after
+// the first that waits, once this has waited for a while.
+func TestReusedConnectionMakesRoomForOneThatWaits(t *testing.T) {
+	regular, other := fakes.NewWorker(t), fakes.NewWorker(t)
+	held := []*fakes.Worker{fakes.NewWorker(t), fakes.NewWorker(t)}
+	pools := poolsOf(t, descriptors.NewShare(3), append(held, regular, other)...)
+	for i, w := range held {
+		call(t, pools[i], uint64(i+1), fakes.Deadline())
+		w.Next() // not answered: the connection stays in use
+	}
+	other.Serve(func(c *fakes.Call) { c.OK("") })
+	regular.Serve(func(c *fakes.Call) {
+		time.Sleep(2 * time.Millisecond)
+		c.OK("")
+	})
+	ended := make(chan bool)
+	var callAgain func(id uint64)
+	callAgain = func(id uint64) {
+		attempt := worker.Attempt{ID: id, Class: "reserva", Function: testFunction, Deadline: fakes.Deadline(), LeaseEnd: fakes.Deadline()}
+		_, err := pools[2].Call(attempt, func(worker.Result) {
+			select {
+			case <-ended:
+			default:
+				callAgain(id + 1)
+			}
+		})
+		assert.NoError(t, err)
+	}
+	callAgain(100)
+	time.Sleep(20 * time.Millisecond)
+	_, waiting := call(t, pools[3], 3, fakes.Deadline())
+	assert.Equal(t, balancer.OK, fakes.Receive(t, waiting).Status)
+	close(ended)
+}
--- a/internal/worker/connread.go
+++ b/internal/worker/connread.go
@@ -63,6 +63,7 @@
 	defer c.pool.mu.Unlock()
 	c.pool.lastAnswer = now
 	c.lastUsed = now
+	c.answers++
 	c.unansweredSince = time.Time{}
 	request := c.inFlight[id]
 	if request != nil && result.Status != balancer.OK { // the call may be tried here again, and this answer be repeated
