Soak: floor of service by workers still known; a start tells only what was in its list

Rule serve held whatever the workers did. It holds now while at least half of the workers that were ready when the outage began have not changed since (by the list; a crash counts from the restart on). The part of the usual share, one half, stays. Tests for either side of the bound, for changes before the outage and after the request.

Now exactly what was in the list is noted. Ruled out: the program (its process started with the older list and discovery was silent, so nothing told it).

--- a/internal/soak/dispatcherhandle.go
+++ b/internal/soak/dispatcherhandle.go
@@ -31,7 +31,8 @@
 	d := f.dispatchers[number]
 	run := len(d.runs)
 	configPath := f.configPath(number)
-	known := f.endpoints.known(number)
+	started := Now() // a change that comes after it and is not in the list counts as told like any other
+	known, told := f.endpoints.known(number)
 	if err := f.writeConfig(number, known); err != nil {
 		return err
 	}
@@ -46,9 +47,9 @@
 	d.cmd.Stderr = logFile
 	d.acceptUntil = 0
 	d.ready = false
-	d.runs = append(d.runs, DispatcherRun{Dispatcher: number, Run: run, Started: Now()})
+	d.runs = append(d.runs, DispatcherRun{Dispatcher: number, Run: run, Started: started})
 	d.run.Store(int64(run))
-	f.endpoints.noteKnown(number, run)
+	f.endpoints.noteKnown(number, run, told)
 	d.exited = make(chan struct{})
 	if err := d.cmd.Start(); err != nil {
 		return err
--- a/internal/soak/endpointlist.go
+++ b/internal/soak/endpointlist.go
@@ -113,24 +113,25 @@
 	return latest
 }
 
-// known returns the whole list as one event, for a dispatcher that starts now.
-func (b *endpointList) known(dispatcher int) listAnswer {
+// known returns the whole list as one event, for a dispatcher that starts or reloads now, and what it tells.
+func (b *endpointList) known(dispatcher int) (answer listAnswer, told []change) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var event listEvent
 	event.Revision = b.revisionLocked()
 	event.Pool.All = true
-	for _, c := range b.latestLocked() {
+	told = b.latestLocked()
+	for _, c := range told {
 		event.Pool.Targets = append(event.Pool.Targets, c.target(dispatcher))
 	}
-	return listAnswer{Revision: event.Revision, Notifications: []listEvent{event}}
+	return listAnswer{Revision: event.Revision, Notifications: []listEvent{event}}, told
 }
 
-// noteKnown notes that a dispatcher's process was told the whole list at its start.
-func (b *endpointList) noteKnown(dispatcher, run int) {
+// noteKnown notes that a dispatcher's process was told of changes at its start.
+func (b *endpointList) noteKnown(dispatcher, run int, told []change) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, c := range b.latestLocked() {
+	for _, c := range told {
 		b.noteNotifiedLocked(dispatcher, run, c, Now())
 	}
 }
@@ -245,6 +246,20 @@
 	return notices
 }
 
+// allChanges returns the first list and all changes of it, by time.
+func (b *endpointList) allChanges() []ListChange {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var all []ListChange
+	for _, c := range b.first {
+		all = append(all, ListChange{Worker: c.worker.uid, State: c.state})
+	}
+	for _, c := range b.changes {
+		all = append(all, ListChange{Worker: c.worker.uid, State: c.state, At: c.at})
+	}
+	return all
+}
+
 // dialable reports whether something listens at an address.
 func dialable(addr string) bool {
 	conn, err := net.DialTimeout("tcp", addr, time.Second)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -27,7 +27,8 @@
 		return nil
 	}
 	d.discovery = (d.discovery + 1) % discoveryAddresses
-	if err := f.writeConfig(number, f.endpoints.known(number)); err != nil {
+	known, _ := f.endpoints.known(number)
+	if err := f.writeConfig(number, known); err != nil {
 		return err
 	}
 	return d.cmd.Process.Signal(syscall.SIGHUP)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -220,5 +220,6 @@
 		h.Dispatchers = append(h.Dispatchers, d.runs...)
 	}
 	h.Notifications = f.endpoints.allNotifications(h.Dispatchers)
+	h.ListChanges = f.endpoints.allChanges()
 	return h, nil
 }
--- a/internal/soak/oracle_serving.go
+++ b/internal/soak/oracle_serving.go
@@ -14,14 +14,18 @@
 	discoveryWorks  discoveryState = "works"
 	discoveryBroken discoveryState = "broken"
 	discoveryLong   discoveryState = "broken for longer than its news counts as told"
+	// The same where most of the workers have drained, ended or started since: neither they nor their successors may be used.
+	discoveryOutdated discoveryState = "broken for longer than its news counts as told, and most workers have changed"
 )
 
 // While discovery is broken for long a fleet has to serve at least this part of the share that it serves while discovery works,
 // of at least so many requests each: fewer say nothing. It is not more, since other faults overlap with the outage: workers
-// crash, hang and drain, clients are quiet until nobody is known to be ready, and bursts ask for more than there is.
+// crash, hang and drain, clients are quiet until nobody is known to be ready, and bursts ask for more than there is. It holds as
+// long as this part of the workers that were ready when the outage began has not changed since: others may not be used.
 const (
-	minServedPart   = 0.5
-	minJudgedServes = 100
+	minServedPart    = 0.5
+	minJudgedServes  = 100
+	minUnchangedPart = 0.5
 )
 
 // servedCount counts requests and how many of them were served.
@@ -45,11 +49,38 @@
 		return discoveryWorks
 	case at-h.Outages[i].Begin < notifiedAfter+h.Rules.DrainGrace:
 		return discoveryBroken
+	case h.unchangedPart(h.Outages[i].Begin, at) < minUnchangedPart:
+		return discoveryOutdated
 	default:
 		return discoveryLong
 	}
 }
 
+// unchangedPart returns the part of the workers that were ready at begin whose state in the endpoint list did not change until
+// end; 0 if none was ready.
+func (h *History) unchangedPart(begin, end time.Duration) float64 {
+	ready, changed := map[string]bool{}, map[string]bool{}
+	for _, c := range h.ListChanges {
+		switch {
+		case c.At <= begin:
+			ready[c.Worker] = c.State == stateActive
+		case c.At <= end:
+			changed[c.Worker] = true
+		}
+	}
+	wereReady, unchanged := 0, 0
+	for worker, isReady := range ready {
+		if !isReady {
+			continue
+		}
+		wereReady++
+		if !changed[worker] {
+			unchanged++
+		}
+	}
+	return float64(unchanged) / float64(max(1, wereReady))
+}
+
 // ServedByDiscovery counts the requests whose clients waited for the answer, by what discovery told when they came.
 func (h *History) ServedByDiscovery() map[discoveryState]servedCount {
 	counts := map[discoveryState]servedCount{}
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -68,8 +69,25 @@
 		"served without discovery":     {func(h *History) { addServing(h, 100, 51) }, nil},
 		"not served without discovery": {func(h *History) { addServing(h, 100, 49) }, []Rule{RuleServe}},
 		"too few to judge":             {func(h *History) { addServing(h, 99, 0) }, nil},
-		"a choice that was stopped":    {func(h *History) { h.Dispatchers[0].Stopped = 1 }, []Rule{RuleChoice}},
-		"no answer":                    {func(h *History) { h.Requests = []*Request{newRequest(10 * second)} }, []Rule{RuleLost}},
+		"not served by half of the workers": {func(h *History) {
+			addServing(h, 100, 0)
+			h.addChanges(25*second, stateLeaving)
+		}, []Rule{RuleServe}},
+		"most workers have drained": {func(h *History) {
+			addServing(h, 100, 0)
+			h.addChanges(25*second, stateLeaving, stateLeaving)
+		}, nil},
+		"most workers were started anew": {func(h *History) {
+			addServing(h, 100, 0)
+			h.addChanges(25*second, stateActive, stateActive)
+		}, nil},
+		"most workers drained before, and after": {func(h *History) {
+			addServing(h, 100, 0)
+			h.addChanges(15*second, stateLeaving, stateLeaving)
+			h.addChanges(31*second, stateLeaving, stateLeaving, stateLeaving)
+		}, []Rule{RuleServe}},
+		"a choice that was stopped": {func(h *History) { h.Dispatchers[0].Stopped = 1 }, []Rule{RuleChoice}},
+		"no answer":                 {func(h *History) { h.Requests = []*Request{newRequest(10 * second)} }, []Rule{RuleLost}},
 		"client left": {func(h *History) {
 			r := newRequest(10 * second)
 			r.Left = 10*second + second/2
@@ -168,6 +186,7 @@
 func addServing(h *History, asked, served int) {
 	const begin, longAfter = 20 * second, 30 * second
 	h.Outages = []Outage{{Kind: OutageSilent, Begin: begin, End: time.Minute}}
+	h.addChanges(0, stateActive, stateActive, stateActive)
 	for i := range 100 + asked {
 		r := newRequest(10 * second)
 		r.Words = []string{wordOK}
@@ -182,6 +201,13 @@
 	}
 }
 
+// addChanges changes the states of the first workers at a time.
+func (h *History) addChanges(at time.Duration, states ...string) {
+	for i, state := range states {
+		h.ListChanges = append(h.ListChanges, ListChange{Worker: fmt.Sprint("s-", i), State: state, At: at})
+	}
+}
+
 // What comes late counts as told once its time is over, and what comes in time when it comes.
 func TestLateEventsCountAsToldInTime(t *testing.T) {
 	f := &Fleet{dispatchers: []*dispatcherHandle{{}}, config: Config{Members: 1}}
@@ -197,6 +223,22 @@
 	assert.LessOrEqual(t, list.notices[1].At, Now())
 }
 
+// A change that comes after the list of a start was made counts as told when its time is over, not at the start.
+func TestChangeDuringAStartIsNotToldByIt(t *testing.T) {
+	f := &Fleet{dispatchers: []*dispatcherHandle{{}}, config: Config{Members: 1}}
+	list := newEndpointList(f)
+	worker := newWorkerHandle(f, 0)
+	list.first = []change{{worker: worker.members[0], state: stateActive}}
+	run := DispatcherRun{Started: Now()}
+	_, told := list.known(0)
+	list.add(worker, stateLeaving, 0)
+	list.noteKnown(0, 0, told)
+	notices := list.allNotifications([]DispatcherRun{run})
+	assert.Len(t, notices, 2)
+	assert.Equal(t, stateActive, notices[0].State)
+	assert.Equal(t, Notification{Worker: worker.members[0].uid, State: stateLeaving, At: list.changes[0].at + notifiedAfter}, notices[1])
+}
+
 func TestRandomPlanDependsOnTheSeedAlone(t *testing.T) {
 	assert.Equal(t, RandomPlan(3, planLength), RandomPlan(3, planLength))
 	assert.NotEqual(t, RandomPlan(3, planLength), RandomPlan(4, planLength))
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -114,6 +114,13 @@
 	At         time.Duration // when it counts as told
 }
 
+// ListChange is a worker's state in the endpoint list from a time on.
+type ListChange struct {
+	Worker string
+	State  string
+	At     time.Duration // 0: in the first list
+}
+
 // Freeze is a time in which a worker's process was stopped.
 type Freeze struct {
 	Worker string
@@ -128,6 +135,7 @@
 	Requests      []*Request
 	Dispatchers   []DispatcherRun
 	Notifications []Notification
+	ListChanges   []ListChange // by time
 	Freezes       []Freeze
 	Evacuations   []Evacuation
 	Outages       []Outage
