Failing test: an old replica that answers early with nothing new renews leases

An old replica at the very revision that the dispatcher knows answers polls at once with what is known. The program logs that as a failed poll, "answered early without new events", and yet takes it for a sync. The protocol has a poll answered when later events exist or when its time is over: an early answer without new events is of a server that does not look for them.

--- a/internal/soak/incident3_test.go
+++ b/internal/soak/incident3_test.go
@@ -130,10 +130,11 @@
 	}
 }
 
-// The same with clients that are quiet from before the drain until it counts as told, so that no rejection tells of it.
+// The same with clients that are quiet from before the drain until it counts as told, so that no rejection tells of it. The old
+// list is of the very revision that the dispatcher knows: its replica answers at once where it should wait.
 func TestNothingNewToDrainingWorkersAfterAQuietTime(t *testing.T) {
 	t.Parallel()
-	for _, kind := range []OutageKind{OutageRefused, OutageSilent} {
+	for _, kind := range []OutageKind{OutageRefused, OutageSilent, OutageOldList} {
 		t.Run(string(kind), func(t *testing.T) {
 			t.Parallel()
 			h, _, _ := outageRun{dispatchers: 1, workers: 8, draining: 2, rate: 160, kind: kind, quiet: true}.play(t)
