Discovery: a poll that is answered early with nothing new is no sync

An answer without new events that comes within half of the poll's time is the outcome "early" now, beside "behind": it renews no lease. The protocol has the server wait for events or for the end of the time, so that a healthy one never answers so.

TestOnlyCompleteAnswersAreASync took an early answer for a sync; the answer waits for its time now, and early ones, empty or repeated, are no sync (red before). Ruled out: a replica that waits for its time and is at the known revision. That is the known case of answers with nothing new.

--- a/internal/discovery/freshness.go
+++ b/internal/discovery/freshness.go
@@ -24,6 +24,7 @@
 	pollNothingNew pollOutcome = "nothing_new" // there is no event after the last one known
 	pollIncomplete pollOutcome = "incomplete"  // the answer names a last event that has not come
 	pollBehind     pollOutcome = "behind"      // the server does not know the last event known here
+	pollEarly      pollOutcome = "early"       // nothing new before its time was over: the server does not wait for events
 	pollFailed     pollOutcome = "failed"      // no answer, or one that cannot be used
 )
 
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -184,12 +184,13 @@
 		asOf = w.synced.asOf
 	}
 	hasNew := w.apply(response, balancer.ScopeFull, asOf)
-	outcome := w.outcome(response, hasNew)
+	isEarly := !hasNew && time.Since(sent) < earlyAnswer
+	outcome := w.outcome(response, hasNew, isEarly)
 	w.synced.note(outcome, sent, time.Now(), w.revision)
 	if outcome.isSync() {
 		w.receiver.ConfirmEndpoints(sent)
 	}
-	if !hasNew && time.Since(sent) < earlyAnswer {
+	if isEarly {
 		return errNothingNew
 	}
 	return nil
@@ -204,8 +205,9 @@
 	return last == response.Revision
 }
 
-// outcome returns what an answer was worth once its events have been taken in.
-func (w *Watcher) outcome(response WatchResponse, hasNew bool) pollOutcome {
+// outcome returns what an answer was worth once its events have been taken in. One without new events that is early is of a
+// server that does not look for them: it would wait.
+func (w *Watcher) outcome(response WatchResponse, hasNew, isEarly bool) pollOutcome {
 	switch {
 	case response.Revision > w.revision:
 		return pollIncomplete
@@ -213,6 +215,8 @@
 		return pollBehind
 	case hasNew:
 		return pollEvents
+	case isEarly:
+		return pollEarly
 	default:
 		return pollNothingNew
 	}
