Balancer: workers without a lease have their part in the estimate of a worker's rate

Now all that the list calls ready count. A test: 27 where 22 was the most, now within; without leases, as in the simulator, nothing changes.

--- a/internal/balancer/leases.go
+++ b/internal/balancer/leases.go
@@ -127,6 +127,21 @@
 	}
 }
 
+// lapsedWarmWeight returns the weight of the warm workers that the list calls ready and that have no lease:
+// they have served a part of the calls counted, and serve those of dispatchers that have one.
+func (b *Balancer) lapsedWarmWeight() float64 {
+	if b.leases.lapsed == 0 {
+		return 0
+	}
+	weight := 0.0
+	for _, w := range b.workers {
+		if w.State == Ready && !w.listed && b.warmth(w) >= 1 {
+			weight += w.fullWeight
+		}
+	}
+	return weight
+}
+
 // nextLeaseChange returns when the first of the workers' leases ends or is live again by itself.
 func (b *Balancer) nextLeaseChange(workers []*worker) time.Duration {
 	next := b.now + b.settings.leaseTerms.Synced
--- a/internal/balancer/ranking.go
+++ b/internal/balancer/ranking.go
@@ -17,7 +17,7 @@
 	updatedAt      time.Duration
 	callsPerWorker float64 // this dispatcher's calls counted, for each worker
 	rareCalls      float64 // ... of all functions that are not hot
-	warmWeight     float64 // of all warm workers
+	warmWeight     float64 // of all warm workers that the list calls ready, with a lease or without
 }
 
 // resetHotSet begins a new hot set with the calls of all functions.
@@ -43,7 +43,7 @@
 
 // resetWorkers begins a new count of each worker's hot calls and lets failures be forgotten.
 func (b *Balancer) resetWorkers() {
-	b.hotSet.warmWeight = 0
+	b.hotSet.warmWeight = b.lapsedWarmWeight()
 	for _, w := range b.ready {
 		w.hotCalls = 0
 		if b.warmth(w) >= 1 {
