--- a/internal/balancer/leases_test.go
+++ b/internal/balancer/leases_test.go
@@ -80,6 +80,20 @@
 	assert.Len(t, f.b.ready, 6)
 }
 
+// A worker that drains takes no call: one that it has served, missed or failed at is a proof. A rejection, a reset and a call that
+// was never answered prove nothing.
+func TestAcceptedCallsRenewTheLease(t *testing.T) {
+	for status, renews := range map[Status]bool{OK: true, Miss: true, Failed: true, Rejected: false, Reset: false, TimedOut: false,
+		ConnectFailed: false, NotSent: false} {
+		f, listedAt := newLeaseFleet(t, 3)
+		w := f.b.workers["w00"]
+		f.advance(listedAt + 5*time.Second)
+		f.b.recordLease(w, OutcomeEvent{Status: status, WrittenAt: f.now, ConnectedSince: listedAt})
+		f.advance(f.leaseEnd(listedAt) + time.Second)
+		assert.Equal(t, renews, f.b.available(w), "%v", status)
+	}
+}
+
 // A sync does not renew the lease of a worker that rejects, until it serves or the list names it: discovery may
 // have nothing new since it is cut off itself.
 func TestRejectionsContestTheSync(t *testing.T) {
