Workers, discovery: one file for making room, one for outcomes of polls

What decides which connection makes room stood in two files, and what an answer to a poll is worth in two.

--- a/internal/discovery/freshness.go
+++ b/internal/discovery/freshness.go
@@ -15,22 +15,6 @@
 	freshLog  = logthrottle.New()
 )
 
-// pollOutcome says how a poll ended, in metrics.
-type pollOutcome string
-
-// The outcomes. The first two are a sync: the server has told everything that it knew when the poll was sent.
-const (
-	pollEvents     pollOutcome = "events"      // new events, up to the last one that exists
-	pollNothingNew pollOutcome = "nothing_new" // there is no event after the last one known
-	pollIncomplete pollOutcome = "incomplete"  // the answer names a last event that has not come
-	pollBehind     pollOutcome = "behind"      // the server does not know the last event known here
-	pollEarly      pollOutcome = "early"       // nothing new before its time was over: the server does not wait for events
-	pollFailed     pollOutcome = "failed"      // no answer, or one that cannot be used
-)
-
-// isSync reports whether the poll has told all that its server knew.
-func (o pollOutcome) isSync() bool { return o == pollEvents || o == pollNothingNew }
-
 // freshness keeps how old the last sync is. It belongs to the goroutine of Run.
 type freshness struct {
 	asOf   time.Time // when the poll of the last sync was sent; or when the watcher was made
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -196,32 +196,6 @@
 	return nil
 }
 
-// isComplete reports whether an answer brings, with what is known, all events up to the last one that it names.
-func (w *Watcher) isComplete(response WatchResponse) bool {
-	last := w.revision
-	for _, event := range response.Events {
-		last = max(last, event.Revision)
-	}
-	return last == response.Revision
-}
-
-// outcome returns what an answer was worth once its events have been taken in. One without new events that is early is of a
-// server that does not look for them: it would wait.
-func (w *Watcher) outcome(response WatchResponse, hasNew, isEarly bool) pollOutcome {
-	switch {
-	case response.Revision > w.revision:
-		return pollIncomplete
-	case response.Revision < w.revision:
-		return pollBehind
-	case hasNew:
-		return pollEvents
-	case isEarly:
-		return pollEarly
-	default:
-		return pollNothingNew
-	}
-}
-
 // fetch gets and decodes the server's answer.
 func (w *Watcher) fetch(ctx context.Context, url string) (WatchResponse, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
--- a/internal/worker/connlimit_test.go
+++ b/internal/worker/connlimit_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"kitefall/internal/balancer"
+	"kitefall/internal/channel"
 	"kitefall/internal/descriptors"
 	"kitefall/internal/fakes"
 	"kitefall/internal/worker"
@@ -131,6 +132,24 @@
 	}
 }
 
+// callWithoutPause sends a call to a worker as soon as the one before has ended, until stop is called.
+func callWithoutPause(t *testing.T, pool *worker.Pool) (stop func()) {
+	t.Helper()
+	stopped := make(chan struct{})
+	var callNext func(id uint64)
+	callNext = func(id uint64) {
+		attempt := worker.Attempt{ID: id, Class: "reserva", Function: testFunction, Deadline: fakes.Deadline(), LeaseEnd: fakes.Deadline()}
+		_, err := pool.Call(attempt, func(worker.Result) {
+			if !channel.IsClosed(stopped) {
+				callNext(id + 1)
+			}
+		})
+		assert.NoError(t, err)
+	}
+	callNext(100)
+	return func() { close(stopped) }
+}
+
 // A connection that waits is not held off by one that is reused without a pause: that one goes to the next request only after
 // the first that waits, once this has waited for a while.
 func TestReusedConnectionMakesRoomForOneThatWaits(t *testing.T) {
@@ -146,22 +165,9 @@
 		time.Sleep(2 * time.Millisecond)
 		c.OK("")
 	})
-	ended := make(chan bool)
-	var callAgain func(id uint64)
-	callAgain = func(id uint64) {
-		attempt := worker.Attempt{ID: id, Class: "reserva", Function: testFunction, Deadline: fakes.Deadline(), LeaseEnd: fakes.Deadline()}
-		_, err := pools[2].Call(attempt, func(worker.Result) {
-			select {
-			case <-ended:
-			default:
-				callAgain(id + 1)
-			}
-		})
-		assert.NoError(t, err)
-	}
-	callAgain(100)
+	stop := callWithoutPause(t, pools[2])
 	time.Sleep(20 * time.Millisecond)
 	_, waiting := call(t, pools[3], 3, fakes.Deadline())
 	assert.Equal(t, balancer.OK, fakes.Receive(t, waiting).Status)
-	close(ended)
+	stop()
 }
--- a/internal/worker/connroom.go
+++ b/internal/worker/connroom.go
@@ -79,3 +79,32 @@
 		i.conn.closeForRoom()
 	}
 }
+
+// reusedLocked reports whether the connection has served more than one request.
+func (c *conn) reusedLocked() bool { return c.answers >= reusedAnswers }
+
+// use returns how the connection is used.
+func (c *conn) use() connUse {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	return connUse{idle: c.mayMakeRoomLocked(), reused: c.reusedLocked(), lastUsed: c.lastUsed}
+}
+
+// mayMakeRoomLocked reports whether the connection may be closed to give its descriptor to another.
+func (c *conn) mayMakeRoomLocked() bool {
+	return c.netConn != nil && c.state != connClosed && c.idleLocked()
+}
+
+// closeForRoom closes the connection if it is still idle.
+func (c *conn) closeForRoom() {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.makeRoomLocked()
+}
+
+func (c *conn) makeRoomLocked() {
+	if c.mayMakeRoomLocked() {
+		closedForRoom.count()
+		c.closeLocked()
+	}
+}
