Failing tests: quiet clients and rare calls in an outage, restart with an old list

The stand-in of discovery can start a dispatcher with its first list, and the oracle counts what has changed since a list was made as told after its time, whenever the process started. The runs with an outage have a file of their own.

--- a/internal/soak/dispatcherhandle.go
+++ b/internal/soak/dispatcherhandle.go
@@ -24,16 +24,28 @@
 	ready       bool
 }
 
-// startDispatcher starts a process of a dispatcher, whose wall clock takes the steps.
+// startDispatcher starts a process of a dispatcher with the present list, whose wall clock takes the steps.
 func (f *Fleet) startDispatcher(number int, steps []wallstep.Step) error {
+	listedAt := Now() // a change that comes after it and is not in the list counts as told like any other
+	known, told := f.endpoints.known(number)
+	return f.startDispatcherWith(number, steps, startList{answer: known, told: told, asOf: listedAt})
+}
+
+// startList is the list in the configuration of a dispatcher that starts.
+type startList struct {
+	answer listAnswer
+	told   []change
+	asOf   time.Duration // changes that came after it are not in the list; 0: it is the first one
+}
+
+// startDispatcherWith starts a process of a dispatcher with a list, whose wall clock takes the steps.
+func (f *Fleet) startDispatcherWith(number int, steps []wallstep.Step, list startList) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	d := f.dispatchers[number]
 	run := len(d.runs)
 	configPath := f.configPath(number)
-	started := Now() // a change that comes after it and is not in the list counts as told like any other
-	known, told := f.endpoints.known(number)
-	if err := f.writeConfig(number, known); err != nil {
+	if err := f.writeConfig(number, list.answer); err != nil {
 		return err
 	}
 	logFile, err := os.Create(f.logPath(number, run))
@@ -47,9 +59,9 @@
 	d.cmd.Stderr = logFile
 	d.acceptUntil = 0
 	d.ready = false
-	d.runs = append(d.runs, DispatcherRun{Dispatcher: number, Run: run, Started: started})
+	d.runs = append(d.runs, DispatcherRun{Dispatcher: number, Run: run, Started: Now(), ListedAt: list.asOf})
 	d.run.Store(int64(run))
-	f.endpoints.noteKnown(number, run, told)
+	f.endpoints.noteKnown(number, run, list)
 	d.exited = make(chan struct{})
 	if err := d.cmd.Start(); err != nil {
 		return err
--- a/internal/soak/endpointlist.go
+++ b/internal/soak/endpointlist.go
@@ -127,12 +127,22 @@
 	return listAnswer{Revision: event.Revision, Notifications: []listEvent{event}}, told
 }
 
-// noteKnown notes that a dispatcher's process was told of changes at its start.
-func (b *endpointList) noteKnown(dispatcher, run int, told []change) {
+// firstKnown returns the first list, whatever has changed since.
+func (b *endpointList) firstKnown(dispatcher int) startList {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, c := range told {
-		b.noteNotifiedLocked(dispatcher, run, c, Now())
+	return startList{
+		answer: listAnswer{Revision: 1, Notifications: []listEvent{b.eventLocked(dispatcher, 1)}},
+		told:   b.first,
+	}
+}
+
+// noteKnown notes that a dispatcher's process was told at its start of what was in its list.
+func (b *endpointList) noteKnown(dispatcher, run int, list startList) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range list.told {
+		b.noteNotifiedLocked(dispatcher, run, c, list.asOf)
 	}
 }
 
@@ -237,7 +247,7 @@
 	}
 	for _, run := range runs {
 		for _, c := range b.changes {
-			if !told[key(run.Dispatcher, run.Run, c)] && c.at >= run.Started {
+			if !told[key(run.Dispatcher, run.Run, c)] && c.at >= run.ListedAt {
 				notices = append(notices, Notification{Dispatcher: run.Dispatcher, Run: run.Run, Worker: c.worker.uid,
 					State: c.state, BootMS: c.bootMS, At: c.at + notifiedAfter})
 			}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -89,6 +89,15 @@
 	return f.awaitDispatcher(number)
 }
 
+// RestartDispatcherWithFirstList kills a dispatcher and starts it again with the list of its first start, whatever has changed.
+func (f *Fleet) RestartDispatcherWithFirstList(number int) error {
+	f.killDispatcher(number)
+	if err := f.startDispatcherWith(number, nil, f.endpoints.firstKnown(number)); err != nil {
+		return err
+	}
+	return f.awaitDispatcher(number)
+}
+
 // CrashWorker kills a worker and starts it again after a time, cold. The endpoint list tells of its new start.
 func (f *Fleet) CrashWorker(number int, downFor time.Duration) error {
 	w := f.workers[number]
--- /dev/null
+++ b/internal/soak/oldlist_test.go
@@ -0,0 +1,24 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Guards against calls to workers that drained before the start of a dispatcher, where its configuration holds an old list and
+// discovery is out of reach.
+func TestNothingNewToDrainingWorkersAfterARestartWithAnOldList(t *testing.T) {
+	t.Parallel()
+	for _, kind := range outageKinds {
+		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
+			restart := 4 * time.Second
+			h, begin, end := outageRun{dispatchers: 1, workers: 8, draining: 2, rate: 160, kind: kind, length: 16 * time.Second,
+				oldListAfter: restart}.play(t)
+			t.Log("served before, from the restart on", h.servedShare(begin, begin+restart), h.servedShare(begin+restart, end))
+			assert.Empty(t, Check(h))
+		})
+	}
+}
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -232,7 +232,7 @@
 	run := DispatcherRun{Started: Now()}
 	_, told := list.known(0)
 	list.add(worker, stateLeaving, 0)
-	list.noteKnown(0, 0, told)
+	list.noteKnown(0, 0, startList{told: told, asOf: run.Started})
 	notices := list.allNotifications([]DispatcherRun{run})
 	assert.Len(t, notices, 2)
 	assert.Equal(t, stateActive, notices[0].State)
--- /dev/null
+++ b/internal/soak/outagerun_test.go
@@ -0,0 +1,130 @@
+package soak
+
+import (
+	"cmp"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// The course of an outage of discovery in which workers drain.
+const (
+	outageAfter  = 2 * time.Second        // since the start of the load
+	drainAfter   = 500 * time.Millisecond // since the start of the outage
+	outageLength = 12 * time.Second
+	outageGrace  = 500 * time.Millisecond
+	returnWithin = 2 * time.Second // after the list's return a worker that is back is used again
+	// quietFrom and quietUntil bound the time without a request, since the start of the outage, in a run with quiet clients: no
+	// rejection can tell of a drain before it counts as told.
+	quietFrom  = 200 * time.Millisecond
+	quietUntil = drainAfter + notifiedAfter + outageGrace + 300*time.Millisecond
+)
+
+// outageRun is a run with an outage of discovery.
+type outageRun struct {
+	dispatchers int
+	workers     int // processes
+	members     int // workers of each process; 0: one
+	functions   int // that are called; 0: a dozen
+	limits      Limits
+	draining    int
+	rate        float64 // requests a second of each dispatcher
+	warmUp      float64 // the same before the outage; 0: rate
+	kind        OutageKind
+	length      time.Duration // of an outage; 0: outageLength
+	quiet       bool
+	outages     int // one after the other; 0: one
+	restarts    int // dispatchers that are restarted in each of them, every other one without a warning
+	// oldListAfter is when the dispatchers are restarted with the list of their first start, since the outage's begin. 0: never.
+	oldListAfter time.Duration
+}
+
+// play plays the run and returns what was recorded, and when the last outage began and ended.
+func (r outageRun) play(t *testing.T) (h *History, begin, end time.Duration) {
+	t.Helper()
+	rules := DefaultRules()
+	rules.DrainGrace = outageGrace
+	rules.LoadWindow = 10 * time.Second
+	worker := DefaultWorker()
+	worker.Work = 20 * time.Millisecond
+	worker.KeepAlive = 10 * time.Second
+	f, err := Start(Config{Program: dispatcherProgram(t), Folder: t.TempDir(), Dispatchers: r.dispatchers, Workers: r.workers,
+		Members: max(1, r.members), Seed: 1, Rules: rules, Worker: worker, Deadline: time.Second, Limits: r.limits})
+	require.NoError(t, err)
+	t.Cleanup(f.Close)
+	load := Load{Rate: r.rate, Functions: cmp.Or(r.functions, 12), MinWait: 500 * time.Millisecond, MaxWait: time.Second}
+	warmUp := load
+	warmUp.Rate = cmp.Or(r.warmUp, r.rate)
+	f.StartClients(warmUp)
+	time.Sleep(outageAfter)
+	f.SetLoad(load)
+	for number := range max(1, r.outages) {
+		begin, end = r.playOutage(t, f, load, number)
+		time.Sleep(returnWithin + time.Second)
+	}
+	h, err = f.Finish()
+	require.NoError(t, err)
+	t.Log(Counts(h))
+	logMetrics(t, f)
+	return h, begin, end
+}
+
+// playOutage plays one of the outages, in which the next workers drain, and returns when it began and ended.
+func (r outageRun) playOutage(t *testing.T, f *Fleet, load Load, number int) (begin, end time.Duration) {
+	t.Helper()
+	begin = Now()
+	length := cmp.Or(r.length, outageLength)
+	ended := make(chan error, 1)
+	go func() { ended <- f.BreakDiscovery(r.kind, f.allDispatchers(), length) }()
+	if r.quiet {
+		time.Sleep(quietFrom)
+		silent := load
+		silent.Rate = 0
+		f.SetLoad(silent)
+	}
+	time.Sleep(begin + drainAfter - Now())
+	draining := make([]int, r.draining)
+	for i := range draining {
+		draining[i] = (number*r.draining + i) % r.workers
+		f.DrainWorker(draining[i])
+	}
+	if r.quiet {
+		time.Sleep(begin + quietUntil - Now())
+		f.SetLoad(load)
+	}
+	for dispatcher := range r.restarts {
+		require.NoError(t, f.RestartDispatcher(dispatcher, dispatcher%2 == 0, nil))
+	}
+	if r.oldListAfter > 0 {
+		time.Sleep(begin + r.oldListAfter - Now())
+		for _, dispatcher := range f.allDispatchers() {
+			require.NoError(t, f.RestartDispatcherWithFirstList(dispatcher))
+		}
+	}
+	time.Sleep(begin + length - time.Second - Now())
+	for _, worker := range draining {
+		f.RemoveWorker(worker)
+		require.NoError(t, f.ReturnWorker(worker))
+	}
+	assert.True(t, askReady(f.dispatcherAddr(0)), "all dispatchers miss discovery at once: none stands aside for it")
+	require.NoError(t, <-ended)
+	return begin, Now()
+}
+
+// servedShare returns the share of the requests of a time that were served.
+func (h *History) servedShare(begin, end time.Duration) float64 {
+	served, sent := 0, 0
+	for _, r := range h.Requests {
+		if r.Sent < begin || r.Sent >= end {
+			continue
+		}
+		sent++
+		if r.served() {
+			served++
+		}
+	}
+	return float64(served) / float64(max(1, sent))
+}
+
--- /dev/null
+++ b/internal/soak/quiet_test.go
@@ -0,0 +1,69 @@
+package soak
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// visibleOutages are the ways in which a dispatcher can tell that discovery is out of reach.
+var visibleOutages = []OutageKind{OutageRefused, OutageSilent, OutageCutOff, OutageError, OutageOldList}
+
+const (
+	servedAfterQuiet = 0.3         // at least, of what eight workers are asked for
+	longestGap       = time.Second // between two requests that are served
+)
+
+// Guards against a fleet that rejects everything until discovery is back, since its clients were quiet when the leases ended.
+func TestFleetServesAfterAQuietTimeWithoutDiscovery(t *testing.T) {
+	t.Parallel()
+	for _, kind := range visibleOutages {
+		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
+			h, begin, end := outageRun{dispatchers: 1, workers: 8, draining: 2, rate: 160, kind: kind, quiet: true}.play(t)
+			back := begin + quietUntil
+			t.Log("served in the first second and until the end", h.servedShare(back, back+time.Second), h.servedShare(back, end))
+			assert.Empty(t, Check(h))
+			assert.GreaterOrEqual(t, h.servedShare(back, back+time.Second), servedAfterQuiet)
+			assert.GreaterOrEqual(t, h.servedShare(back, end), servedAfterQuiet)
+			assert.LessOrEqual(t, h.longestGap(back, end), longestGap)
+		})
+	}
+}
+
+// Guards against the same at night: a dispatcher with a call every few seconds has nobody left 7 s into an outage.
+func TestRareCallsAreServedWithoutDiscovery(t *testing.T) {
+	t.Parallel()
+	h, begin, end := outageRun{dispatchers: 1, workers: 8, draining: 2, rate: 0.24, kind: OutageRefused, length: 30 * time.Second,
+		warmUp: 160}.play(t)
+	late := h.servedShare(begin+quietUntil, end)
+	t.Log("served from", quietUntil, "into the outage", late)
+	assert.Empty(t, Check(h))
+	assert.Greater(t, late, 0.0)
+}
+
+// Guards against calls to workers that drained while polls were answered with nothing new and no client called.
+func TestNothingNewAfterAQuietTimeWithEmptyAnswers(t *testing.T) {
+	t.Parallel()
+	h, _, _ := outageRun{dispatchers: 1, workers: 8, draining: 2, rate: 160, kind: OutageEmpty, quiet: true}.play(t)
+	assert.Empty(t, Check(h))
+}
+
+// longestGap returns the longest time from begin to end in which no request was answered as served.
+func (h *History) longestGap(begin, end time.Duration) time.Duration {
+	var served []time.Duration
+	for _, r := range h.Requests {
+		if r.served() && r.Answers[0] >= begin && r.Answers[0] < end {
+			served = append(served, r.Answers[0])
+		}
+	}
+	slices.Sort(served)
+	longest, last := time.Duration(0), begin
+	for _, at := range append(served, end) {
+		longest = max(longest, at-last)
+		last = at
+	}
+	return longest
+}
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -85,6 +85,7 @@
 	Dispatcher int
 	Run        int
 	Started    time.Duration
+	ListedAt   time.Duration // as of when its configuration has the list of workers; 0: the first list
 	Terminated time.Duration // SIGTERM was sent; 0: never
 	Killed     time.Duration // SIGKILL was sent; 0: never
 	Ended      time.Duration
