Keepalives: a few leases are renewed by load orders while nobody calls in an outage

What callers saw: a fleet whose clients were quiet for 8 s in an outage of discovery rejected everything until discovery was back, and so did a dispatcher with a call every four seconds, as at night.

Cause: while discovery is silent only accepted calls renew leases. Without calls all of them end 6.9 s after the last sync, and nothing can be sent to anybody then: a state without a way out.

Evidence that a load order can take their place: a worker that drains rejects one where no copy stands.

Mend (balancer/keepalive.go): while discovery is silent, a lease that is about to end is renewed by an ask for the copies of a function that clients have called and, where none stands, an order for one. The order proves what was so when its load can have begun, at the earliest a usual load time before it was written. It counts for the load budget; the last lease goes first, and a further one (three at most) is renewed only where the budget will still serve the last. Calls leave one order for it, and preloads what it needs later. A few functions are remembered although nobody calls them. Each dispatcher keeps workers of its own order, spread over zones.

The event loop renews its own record by the same rule, and asks take nothing from its budget. The stand-in of a worker rejects such loads from the start of its drain, as measured; until now from its grace on.

The Example prints the new field of Load.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -19,18 +19,19 @@
 	timer   timer
 	polling polling
 
-	workers   map[WorkerID]*worker
-	zones     map[string]*zone
-	ready     []*worker // sorted by ID
-	changes   listChanges
-	leases    leases
-	restarts  restarts
-	ranked    []rankedWorker // for makeOrder
-	unknown   placement      // for look
-	meanLoad  float64        // of the ready workers
-	failOpen  bool           // most workers are unavailable: ejections are ignored
-	functions map[FunctionID]*function
-	hotSet    hotSet
+	workers    map[WorkerID]*worker
+	zones      map[string]*zone
+	ready      []*worker // sorted by ID
+	changes    listChanges
+	leases     leases
+	restarts   restarts
+	keepalives keepalives
+	ranked     []rankedWorker // for makeOrder
+	unknown    placement      // for look
+	meanLoad   float64        // of the ready workers
+	failOpen   bool           // most workers are unavailable: ejections are ignored
+	functions  map[FunctionID]*function
+	hotSet     hotSet
 
 	requests        map[RequestID]*request
 	unanswered      []*request               // in order of arrival
--- a/internal/balancer/checks_test.go
+++ b/internal/balancer/checks_test.go
@@ -16,6 +16,8 @@
 		f.failed[a.ID] = true
 	case Load:
 		f.checkLoad(a)
+	case Unload:
+		f.unloads = append(f.unloads, a)
 	case Cancel:
 		if r := f.open[a.ID]; !f.settings.CanCancel || r == nil || a.Attempt >= len(r.sends) {
 			f.t.Fatal("cancel of what was never sent, or not allowed")
--- a/internal/balancer/events.go
+++ b/internal/balancer/events.go
@@ -143,6 +143,9 @@
 	Status   Status
 	Elapsed  time.Duration
 	Copies   int // copies loaded there now
+	// As of an OutcomeEvent, with leases only.
+	WrittenAt      time.Duration
+	ConnectedSince time.Duration
 }
 
 // TimerEvent means that the timer of a SetTimer expired.
--- a/internal/balancer/example_test.go
+++ b/internal/balancer/example_test.go
@@ -37,6 +37,6 @@
 	show(b.Handle(500*time.Millisecond, balancer.OutcomeEvent{ID: 7, Worker: "w1", Status: balancer.OK,
 		Elapsed: 100 * time.Millisecond, Answered: true}))
 	// Output:
-	// balancer.Load {Worker:w1 Function:thumbnail Copies:1 StartWithin:0s}
+	// balancer.Load {Worker:w1 Function:thumbnail Copies:1 StartWithin:0s ProofAge:0s}
 	// balancer.Send {ID:7 Worker:w1 Timeout:0s StartWithin:0s}
 }
--- a/internal/balancer/fleet_test.go
+++ b/internal/balancer/fleet_test.go
@@ -46,6 +46,7 @@
 	arrivals []time.Duration
 
 	pendingLoads []Load
+	unloads      []Unload
 	loads        []Load
 	loadTimes    []time.Duration
 	sent         []Send
--- a/internal/balancer/function.go
+++ b/internal/balancer/function.go
@@ -46,6 +46,7 @@
 	avoidUntil   time.Duration // it rejected or did not answer: other workers go first until then
 	ordered      bool          // a load order is pending
 	orderedAt    time.Duration
+	keepalive    keepaliveStep // of the pending load order
 	noOrderUntil time.Duration
 }
 
--- a/internal/balancer/leases.go
+++ b/internal/balancer/leases.go
@@ -74,6 +74,11 @@
 	default:
 		return
 	}
+	b.leaseChanged(w)
+}
+
+// leaseChanged brings decisions up to date with a worker whose lease has changed.
+func (b *Balancer) leaseChanged(w *worker) {
 	if b.available(w) != w.listed {
 		b.reviewLeases()
 	} else { // it may end or resume sooner now
--- a/internal/balancer/loadorders.go
+++ b/internal/balancer/loadorders.go
@@ -20,24 +20,39 @@
 	return b.loadsOnOrderOnly() && (b.settings.LoadWindow == 0 || p.missed)
 }
 
-// orderLoad is the one place that emits Load. It keeps to drains, the load budget and the bound in flight.
+// orderLoad orders copies for calls. It keeps to drains, the load budget and the bound in flight.
 func (b *Balancer) orderLoad(f *function, p *placement, copies int, maxInFlight float64) bool {
-	start := permit.Start{Worker: p.worker.State.Permitted(), LeaseLeft: b.leaseLeft(p.worker)}
-	if p.ordered || b.now < p.noOrderUntil || start.Check() != permit.Allowed {
+	if !b.mayOrderLoad(f, p) || float64(b.loads.inFlight) >= maxInFlight {
 		return false
 	}
-	if !b.settings.LoadOrders || f.id == "" || b.unknownFunction(f) {
+	if b.outOfSync() && b.loads.budget.LeftAt(b.now) < 1+keepaliveReserve {
 		return false
 	}
-	if float64(b.loads.inFlight) >= maxInFlight || b.loads.budget.Take(b.now) != permit.Allowed {
+	if b.loads.budget.Take(b.now) != permit.Allowed {
 		return false
 	}
-	b.loads.begin(f, p, b.now)
-	b.emit(Load{Worker: p.worker.ID, Function: f.id, Copies: min(copies, maxCopies),
-		StartWithin: b.settings.maxOrderDelay()})
+	b.emitLoad(f, p, Load{Copies: min(copies, maxCopies)})
 	return true
 }
 
+// mayOrderLoad reports whether copies may be ordered at a worker, as far as that is not for the budget to say.
+func (b *Balancer) mayOrderLoad(f *function, p *placement) bool {
+	start := permit.Start{Worker: p.worker.State.Permitted(), LeaseLeft: b.leaseLeft(p.worker)}
+	if p.ordered || b.now < p.noOrderUntil || start.Check() != permit.Allowed {
+		return false
+	}
+	return b.settings.LoadOrders && f.id != "" && !b.unknownFunction(f)
+}
+
+// emitLoad is the one place that emits Load. The order is completed with its worker and function.
+func (b *Balancer) emitLoad(f *function, p *placement, order Load) {
+	b.loads.begin(f, p, b.now)
+	order.Worker = p.worker.ID
+	order.Function = f.id
+	order.StartWithin = b.settings.maxOrderDelay()
+	b.emit(order)
+}
+
 // earnLoads counts a request for the load budget, at its arrival, once a worker has taken it for a request.
 // Clients can send many that they cancel at once, or that name unknown functions: these earn no orders.
 func (b *Balancer) earnLoads(r *request) {
@@ -57,11 +72,13 @@
 	}
 	p := f.placement(w)
 	b.loads.end(f, p)
-	p.copies = e.Copies
-	pause := seconds(f.loadTime / 2)
-	if slow := b.applyLoad(f, p, e); slow {
-		size := math.Max(minLoadWindow, b.loads.window.size*loadWindowDecrease)
-		b.loads.window.decrease(b.now, pause, size)
+	if asked := b.endKeepalive(f, p, e); !asked {
+		p.copies = e.Copies
+		pause := seconds(f.loadTime / 2)
+		if slow := b.applyLoad(f, p, e); slow {
+			size := math.Max(minLoadWindow, b.loads.window.size*loadWindowDecrease)
+			b.loads.window.decrease(b.now, pause, size)
+		}
 	}
 	for _, r := range slices.Clone(b.unanswered) {
 		if r.waitingFor == p {
@@ -113,7 +130,11 @@
 }
 
 // preloadHotSet orders missing copies of hot functions at their group, where own calls must keep them loaded.
+// While discovery is silent it leaves keepalives what they need once the calls have stopped.
 func (b *Balancer) preloadHotSet() {
+	if b.outOfSync() && b.loads.budget.LeftAt(b.now+b.settings.leaseTerms.Loaded) < 1+keepaliveReserve {
+		return
+	}
 	for _, f := range b.hotSet.functions {
 		if !b.loadedByPeers(f) {
 			b.preload(f)
--- a/internal/balancer/ranking.go
+++ b/internal/balancer/ranking.go
@@ -55,14 +55,21 @@
 	}
 }
 
-// rankFunctions returns the functions, most called first, and forgets those no longer called.
+// rankFunctions returns the functions, most called first, and forgets those no longer called, but for a few
+// where keepalives may need them.
 func (b *Balancer) rankFunctions() []*function {
-	var ranked []*function
-	for id, f := range b.functions {
+	var ranked, unused []*function
+	for _, f := range b.functions {
 		if f.calls.add(b.now, 0, callDecay) >= minFunctionCalls || f.references > 0 {
 			ranked = append(ranked, f)
 		} else {
-			delete(b.functions, id)
+			unused = append(unused, f)
+		}
+	}
+	slices.SortFunc(unused, (*function).compareCalls)
+	for _, f := range unused {
+		if !b.settings.EndpointLeases || !f.known || len(b.functions) > minKeptFunctions {
+			delete(b.functions, f.id)
 		}
 	}
 	slices.SortFunc(ranked, func(v, w *function) int {
--- a/internal/balancer/sweep.go
+++ b/internal/balancer/sweep.go
@@ -19,6 +19,7 @@
 	}
 	b.checkLeases()
 	b.assumeRestarts()
+	b.keepLeases()
 	b.checkWorkers()
 	var waiting []*request
 	for _, r := range slices.Clone(b.unanswered) {
--- a/internal/balancer/worker.go
+++ b/internal/balancer/worker.go
@@ -31,6 +31,10 @@
 	lease       permit.Lease
 	goneAt      time.Duration // when its process seemed to end, with no sync since; 0: it did not
 	assumedCold bool          // it is taken for cold since then, though the list has not told of a restart
+
+	keepaliveAt      time.Duration // since when a keepalive is under way; 0: none is
+	keepaliveAsks    int           // of that
+	noKeepaliveUntil time.Duration
 }
 
 func newWorker(id WorkerID, window float64) *worker {
--- a/internal/dispatch/loads.go
+++ b/internal/dispatch/loads.go
@@ -22,8 +22,9 @@
 
 // loadOrder is an order to a worker to load copies of a function.
 type loadOrder struct {
-	key     loadKey
-	created time.Time
+	key      loadKey
+	created  time.Time
+	proofAge time.Duration // of a keepalive, see balancer.Load
 
 	// Set once a pool has taken the order.
 
@@ -34,9 +35,9 @@
 
 // startLoad carries out the balancer's Load.
 func (c *Core) startLoad(load balancer.Load) {
-	order := &loadOrder{key: loadKey{load.Worker, load.Function}, created: time.Now()}
+	order := &loadOrder{key: loadKey{load.Worker, load.Function}, created: time.Now(), proofAge: load.ProofAge}
 	c.loads[order.key] = order
-	if reason := c.permitLoad(load.Worker, order.created); reason != permit.Allowed {
+	if reason := c.permitLoad(load, order.created); reason != permit.Allowed {
 		noteRefusal(reason, order.created, "load order", "worker", string(load.Worker), "function", string(load.Function))
 		c.endLoad(order, worker.Result{Status: balancer.NotSent})
 		return
@@ -87,15 +88,33 @@
 		loadNotDoneLog.Log(slog.LevelInfo, "core: load order not done", "worker", string(order.key.worker),
 			"function", string(order.key.function), "status", result.Status.String())
 	}
+	writtenAt := c.recordKeepalive(order, result)
 	c.notifyBalancer(balancer.LoadEndedEvent{
 		Worker:   order.key.worker,
 		Function: order.key.function,
 		Status:   result.Status,
 		Elapsed:  time.Since(order.created),
 		Copies:   result.Copies,
+
+		WrittenAt:      writtenAt,
+		ConnectedSince: c.clock.balancerTime(result.ConnectedSince),
 	})
 }
 
+// recordKeepalive renews a lease by a keepalive that was carried out. It returns when a load order was written, in the
+// balancer's time, where that is evidence; 0: it is not.
+func (c *Core) recordKeepalive(order *loadOrder, result worker.Result) (writtenAt time.Duration) {
+	e := c.endpoints[order.key.worker]
+	if e == nil || e.pool != order.pool || result.WrittenAt.IsZero() {
+		return 0
+	}
+	writtenAt = c.clock.balancerTime(result.WrittenAt)
+	if order.proofAge > 0 && result.Status == balancer.OK {
+		e.lease.Loaded(writtenAt-order.proofAge, c.clock.balancerTime(result.ConnectedSince), c.syncedAt)
+	}
+	return writtenAt
+}
+
 // isCurrent reports whether an order has neither ended nor been replaced.
 func (c *Core) isCurrent(order *loadOrder) bool { return c.loads[order.key] == order }
 
--- a/internal/dispatch/permits.go
+++ b/internal/dispatch/permits.go
@@ -63,10 +63,11 @@
 	return repeat.Check()
 }
 
-// permitLoad checks a load order that is about to be handed to its worker's pool, and takes it from the budget.
-func (c *Core) permitLoad(id balancer.WorkerID, now time.Time) permit.Reason {
-	start := permit.Start{Worker: c.endpointState(id), LeaseLeft: c.leaseLeft(id, now)}
-	if reason := start.Check(); reason != permit.Allowed {
+// permitLoad checks a load order that is about to be handed to its worker's pool, and takes it from the budget unless it
+// only asks.
+func (c *Core) permitLoad(load balancer.Load, now time.Time) permit.Reason {
+	start := permit.Start{Worker: c.endpointState(load.Worker), LeaseLeft: c.leaseLeft(load.Worker, now)}
+	if reason := start.Check(); reason != permit.Allowed || load.Copies == 0 {
 		return reason
 	}
 	return c.permits.loads.Take(c.clock.balancerTime(now))
--- a/internal/dispatch/permits_test.go
+++ b/internal/dispatch/permits_test.go
@@ -122,6 +122,34 @@
 	assert.Negative(t, c.leaseLeft("s-2", polled), "a worker that nobody knows")
 }
 
+// A keepalive's order renews the lease as of when its load can have begun, where it is carried out; other orders and asks do not,
+// and an ask takes nothing from the load budget.
+func TestLeaseIsRenewedByKeepalives(t *testing.T) {
+	settings := idempotentSettings()
+	settings.LoadBurst = 3
+	settings.LoadWindow = time.Hour
+	order := balancer.Load{Worker: "s-1", Function: testFunction, Copies: 1}
+	c, _ := newPermitCore(t, settings, func(balancer.RequestID) []balancer.Action { return []balancer.Action{order} })
+	terms := permit.NewLeaseTerms(settings.DrainGrace)
+	written := time.Now().Add(time.Minute)
+	end := func(status balancer.Status) {
+		acceptCall(c, "consulta")
+		written = written.Add(time.Second)
+		pending := c.loads[loadKey{"s-1", testFunction}]
+		c.handle(loadEnded{order: pending, result: worker.Result{Status: status, WrittenAt: written, ConnectedSince: c.clock.at(1)}})
+	}
+	end(balancer.OK)
+	assert.Negative(t, c.leaseLeft("s-1", written), "a copy may have stood")
+	order.ProofAge = 30 * time.Millisecond
+	end(balancer.Rejected)
+	assert.Negative(t, c.leaseLeft("s-1", written))
+	end(balancer.OK)
+	assert.Equal(t, terms.Loaded-order.ProofAge, c.leaseLeft("s-1", written))
+	order.Copies = 0
+	acceptCall(c, "consulta")
+	assert.NotNil(t, c.loads[loadKey{"s-1", testFunction}], "the budget is spent, but it only asks")
+}
+
 // What a pool tells of the end of its worker's process comes to the balancer.
 func TestEndOfAProcessReachesTheBalancer(t *testing.T) {
 	c, scripted := newPermitCore(t, idempotentSettings(), func(balancer.RequestID) []balancer.Action { return nil })
--- a/internal/permit/lease.go
+++ b/internal/permit/lease.go
@@ -32,16 +32,18 @@
 type LeaseTerms struct {
 	Synced   time.Duration // from when the poll of a sync was sent: one whose answer leaves nothing out
 	Accepted time.Duration // from when a call was written that the worker accepted
+	Loaded   time.Duration // from when a load began that the worker was ordered
 }
 
 // NewLeaseTerms returns the terms where nothing may be begun at a worker once it has drained for a grace. A
 // sync tells what was so when its poll was sent; an accepted call only what was so a while before it was
-// written.
+// written. A worker that drains begins no load.
 func NewLeaseTerms(drainGrace time.Duration) LeaseTerms {
 	binds := MaxNotificationDelay + drainGrace - leaseMargin
 	return LeaseTerms{
 		Synced:   binds - listDelay,
 		Accepted: binds - max(minDrainAcceptance, drainGrace+drainTail),
+		Loaded:   binds - listDelay,
 	}
 }
 
@@ -60,21 +62,54 @@
 // safe for concurrent use.
 type Lease struct {
 	listed         time.Duration // as of when the list last named the worker as ready
-	accepted       time.Duration // when the last call was written that proves that it is ready
-	reached        reached       // the last call that it accepted after it was reached anew
+	proven         evidence      // that it was ready
+	reached        reached       // the same after it was reached anew
 	rejected       time.Duration // when the last call was written that it has rejected
 	contestedUntil time.Duration // polls sent before this do not renew the lease
 }
 
-// reached is a call that was accepted by a process of which nothing had been heard before.
+// evidence is when a worker has last done what one does not do that has drained for long; zero is never.
+type evidence struct {
+	accepted time.Duration // the last call was written that it accepted
+	loaded   time.Duration // the last load began that it was ordered
+}
+
+// last returns when the latest evidence was given; 0: there is none.
+func (e evidence) last() time.Duration { return max(e.accepted, e.loaded) }
+
+// end returns until when the worker is known to be ready by it; 0: it is not.
+func (e evidence) end(terms LeaseTerms) (end time.Duration) {
+	if e.accepted > 0 {
+		end = e.accepted + terms.Accepted
+	}
+	if e.loaded > 0 {
+		end = max(end, e.loaded+terms.Loaded)
+	}
+	return end
+}
+
+// with returns the later parts of both.
+func (e evidence) with(other evidence) evidence {
+	return evidence{accepted: max(e.accepted, other.accepted), loaded: max(e.loaded, other.loaded)}
+}
+
+// reached is evidence by a process of which nothing had been heard before.
 type reached struct {
-	accepted time.Duration // when it was written
-	since    time.Duration // since when there has been a connection to the process without a gap
+	evidence
+	since time.Duration // since when there has been a connection to the process without a gap
 }
 
-// countsFrom returns when a return of the worker counts as told, so that the call is a proof.
+// countsFrom returns when a return of the worker counts as told, so that the evidence is a proof.
 func (r reached) countsFrom() time.Duration { return r.since + returnTold }
 
+// end returns until when the worker is known to be ready, from countsFrom on; 0: it is over by then.
+func (r reached) end(terms LeaseTerms) time.Duration {
+	if end := r.evidence.end(terms); end > r.countsFrom() {
+		return end
+	}
+	return 0
+}
+
 // Listed notes that the list names the worker as ready, as of a time.
 func (l *Lease) Listed(asOf time.Duration) {
 	l.listed = max(l.listed, asOf)
@@ -85,14 +120,26 @@
 // it, or looked for its function. There has been a connection to its process without a gap since
 // connectedSince.
 func (l *Lease) Accepted(writtenAt, connectedSince, syncedAt time.Duration) {
-	l.settle(writtenAt)
-	sameProcess := connectedSince <= max(l.accepted, l.told(syncedAt))
-	call := reached{accepted: writtenAt, since: connectedSince}
+	l.prove(reached{evidence{accepted: writtenAt}, connectedSince}, syncedAt)
+}
+
+// Loaded notes that the worker has carried out a load order, by a load that began no sooner than beganAt. The
+// rest is as for Accepted.
+func (l *Lease) Loaded(beganAt, connectedSince, syncedAt time.Duration) {
+	l.prove(reached{evidence{loaded: beganAt}, connectedSince}, syncedAt)
+}
+
+// prove takes in evidence by the process that is connected now.
+func (l *Lease) prove(r reached, syncedAt time.Duration) {
+	l.settle(r.last())
+	sameProcess := r.since <= max(l.proven.last(), l.told(syncedAt))
 	switch {
-	case sameProcess || writtenAt >= call.countsFrom():
-		l.accepted = max(l.accepted, writtenAt)
-	case l.reached.since != connectedSince || l.reached.accepted < writtenAt:
-		l.reached = call
+	case sameProcess || r.last() >= r.countsFrom():
+		l.proven = l.proven.with(r.evidence)
+	case l.reached.since != r.since:
+		l.reached = r
+	default:
+		l.reached.evidence = l.reached.with(r.evidence)
 	}
 }
 
@@ -100,7 +147,7 @@
 // drain and discovery not tell: until it accepts a call or the list names it, answers with nothing new are
 // no proof of it.
 func (l *Lease) Rejected(writtenAt time.Duration) {
-	if writtenAt <= max(l.accepted, l.listed) {
+	if writtenAt <= max(l.proven.last(), l.listed) {
 		return
 	}
 	l.rejected = max(l.rejected, writtenAt)
@@ -132,19 +179,23 @@
 	if told := l.told(syncedAt); told > 0 {
 		end = told + terms.Synced
 	}
-	if l.accepted > 0 {
-		end = max(end, l.accepted+terms.Accepted)
-	}
-	if l.reached.accepted > 0 && now >= l.reached.countsFrom() {
-		end = max(end, l.reached.accepted+terms.Accepted)
+	end = max(end, l.proven.end(terms))
+	if now >= l.reached.countsFrom() {
+		end = max(end, l.reached.end(terms))
 	}
 	return end - now
 }
 
+// ProvenUntil returns when the lease ends for good without further evidence. It may be over in between, see
+// ResumesAt.
+func (l *Lease) ProvenUntil(terms LeaseTerms, syncedAt time.Duration) time.Duration {
+	return max(l.Left(terms, syncedAt, 0), l.reached.end(terms))
+}
+
 // ResumesAt returns when a lease that is over is live again without further evidence; 0: it is not.
 func (l *Lease) ResumesAt(terms LeaseTerms, now time.Duration) time.Duration {
 	at := l.reached.countsFrom()
-	if l.reached.accepted == 0 || now >= at || at >= l.reached.accepted+terms.Accepted {
+	if now >= at || l.reached.end(terms) == 0 {
 		return 0
 	}
 	return at
--- a/internal/permit/lease_test.go
+++ b/internal/permit/lease_test.go
@@ -28,6 +28,10 @@
 		accepted.Accepted(time.Hour, time.Second, 0)
 		drained = time.Hour - grace - 500*time.Millisecond // it accepts calls for so long
 		assert.Less(t, accepted.end(terms, 0), drained+MaxNotificationDelay+grace, "by an accepted call")
+		var loaded Lease
+		loaded.Listed(time.Minute)
+		loaded.Loaded(time.Hour, time.Second, 0)
+		assert.Less(t, loaded.end(terms, 0), time.Hour+MaxNotificationDelay+grace, "by a load: it drains right after it began")
 	}
 }
 
@@ -54,10 +58,14 @@
 			now, now + 9*time.Second + terms.Accepted},
 		"rejected, served by one that returned": {func(l *Lease) { l.Listed(1); l.Rejected(now); l.Accepted(now+2, now+1, now) }, now + 5,
 			now + 5 + terms.Synced},
-		"rejected, then served":              {func(l *Lease) { l.Rejected(now); l.Accepted(now+1, 1, 0) }, now + 5, now + 5 + terms.Synced},
-		"rejected, served before":            {func(l *Lease) { l.Listed(1); l.Accepted(now-1, 1, 0); l.Rejected(now) }, now + 5, now - 1 + terms.Accepted},
-		"rejected, then listed":              {func(l *Lease) { l.Rejected(now); l.Listed(now + 1) }, now + 5, now + 5 + terms.Synced},
-		"served, an earlier call rejected":   {func(l *Lease) { l.Listed(1); l.Accepted(now, 1, 0); l.Rejected(now - 1) }, now + 5, now + 5 + terms.Synced},
+		"rejected, then served":            {func(l *Lease) { l.Rejected(now); l.Accepted(now+1, 1, 0) }, now + 5, now + 5 + terms.Synced},
+		"rejected, served before":          {func(l *Lease) { l.Listed(1); l.Accepted(now-1, 1, 0); l.Rejected(now) }, now + 5, now - 1 + terms.Accepted},
+		"rejected, then listed":            {func(l *Lease) { l.Rejected(now); l.Listed(now + 1) }, now + 5, now + 5 + terms.Synced},
+		"served, an earlier call rejected": {func(l *Lease) { l.Listed(1); l.Accepted(now, 1, 0); l.Rejected(now - 1) }, now + 5, now + 5 + terms.Synced},
+		"loaded":                           {func(l *Lease) { l.Listed(1); l.Loaded(now, 1, 0) }, 0, now + terms.Loaded},
+		"loaded, a call accepted later": {func(l *Lease) { l.Listed(1); l.Loaded(now, 1, 0); l.Accepted(now+1, 1, 0) }, 0,
+			now + terms.Loaded},
+		"rejected, then loaded":              {func(l *Lease) { l.Listed(1); l.Rejected(now); l.Loaded(now+1, 1, 0) }, now + 5, now + 5 + terms.Synced},
 		"rejected, and a sync long after it": {func(l *Lease) { l.Rejected(now) }, now + contestTime, now + contestTime + terms.Synced},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -90,9 +98,11 @@
 		assert.Equal(t, test.live, l.Left(terms, told, test.now) >= 0, "%s", test.now-told)
 	}
 	assert.Equal(t, since+returnTold, l.ResumesAt(terms, served))
+	assert.Equal(t, served+terms.Accepted, l.ProvenUntil(terms, told), "though it is over in between")
 	assert.Zero(t, l.ResumesAt(terms, since+returnTold), "it has resumed")
 	l.Accepted(served+1, served, told)
 	assert.Zero(t, l.ResumesAt(terms, served+2), "reached anew once more, it would be over before it counts")
 	l.Accepted(served+returnTold, served, told)
 	assert.Positive(t, l.Left(terms, told, served+returnTold+terms.Accepted-1), "the return counts by now")
+	assert.Equal(t, served+returnTold+terms.Accepted, l.ProvenUntil(terms, told))
 }
--- a/internal/permit/loadbudget.go
+++ b/internal/permit/loadbudget.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -44,6 +45,17 @@
 	return Allowed
 }
 
+// LeftAt returns how many orders could be given at a later time if there were none until then, and no more
+// requests; fewer than one: none.
+func (b *LoadBudget) LeftAt(at time.Duration) float64 {
+	if b.Window == 0 {
+		return math.Inf(1)
+	}
+	orders := After(b.orders, at-b.Window-b.Margin)
+	requests := After(b.requests, at-b.Window+b.Margin)
+	return b.Burst + b.Ratio*float64(len(requests)) - float64(len(orders))
+}
+
 // After returns the times later than a bound, of times that are sorted. The result shares their memory.
 func After(times []time.Duration, bound time.Duration) []time.Duration {
 	i, _ := slices.BinarySearch(times, bound+1)
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -100,3 +101,14 @@
 	assert.Zero(t, takeAll(b, time.Minute+11*time.Second-1))
 	assert.Equal(t, 1, takeAll(b, time.Minute+11*time.Second))
 }
+
+// What is left at a later time is what could be given then if nothing came until then.
+func TestLoadBudgetLeftLater(t *testing.T) {
+	b := &LoadBudget{Burst: 2, Ratio: 1, Window: 10 * time.Second, Margin: time.Second}
+	b.Earn(time.Minute)
+	takeAll(b, time.Minute)
+	assert.Equal(t, 0.0, b.LeftAt(time.Minute+9*time.Second-1))
+	assert.Equal(t, -1.0, b.LeftAt(time.Minute+9*time.Second), "the request has left the window, the orders have not")
+	assert.Equal(t, 2.0, b.LeftAt(time.Minute+11*time.Second))
+	assert.True(t, math.IsInf((&LoadBudget{}).LeftAt(0), 1), "no window: no bound")
+}
--- a/internal/soak/outagerun_test.go
+++ b/internal/soak/outagerun_test.go
@@ -127,4 +127,3 @@
 	}
 	return float64(served) / float64(max(1, sent))
 }
-
--- a/internal/soak/workerconn.go
+++ b/internal/soak/workerconn.go
@@ -65,14 +65,14 @@
 }
 
 // load carries out a load order. A worker that drains answers as those of the platform's bench do: with no where it would have
-// to load, and as always where a copy stands or the order only asks.
+// to load, from the start of the drain on, and as always where a copy stands or the order only asks.
 func (c *workerConn) load(f workerFrame) {
 	w := c.worker
 	w.awaitResume()
 	w.mu.Lock()
 	loading := w.functions[f.fields["thing"]]
 	isNew := loading == nil
-	if isNew && (f.fields["n"] == "0" || w.drainFrom > 0 && Now() >= w.drainFrom) {
+	if isNew && (f.fields["n"] == "0" || w.drainFrom > 0) {
 		w.mu.Unlock()
 		code := byte(fakes.CodeFull)
 		if f.fields["n"] == "0" {
