Leases: a rejection ends one that rests on the list of the start alone

A worker that rejected was contested, but a contest only keeps later syncs from renewing a lease: the one by the list went on for 6.9 s, past the time at which the drain counts as told.

Mend: the lease knows that its list may be old (Assumed). Where a worker rejects, and has accepted nothing since, such a list proves nothing until an event names the worker or it accepts a call. Fleets that are full are spared as before: contests take half of the fleet at most.

--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -116,7 +116,11 @@
 	}
 	for _, entry := range e.Workers {
 		w := b.updateWorker(entry)
-		if w.State == Ready {
+		switch {
+		case w.State != Ready:
+		case e.Scope == ScopeStale:
+			w.lease.Assumed(e.AsOf)
+		default:
 			w.lease.Listed(e.AsOf)
 		}
 		changed = append(changed, w)
--- a/internal/balancer/leases_test.go
+++ b/internal/balancer/leases_test.go
@@ -112,6 +112,32 @@
 	assert.Len(t, f.b.ready, 2, "the list names it")
 }
 
+// Guards against calls to workers that drained before the start: the list of the start may be old, and a worker that rejects is
+// left alone until the list names it.
+func TestRejectionEndsALeaseByTheListOfTheStart(t *testing.T) {
+	s := testSettings()
+	s.EndpointLeases = true
+	f := newFleet(t, s, 1)
+	f.advance(time.Second)
+	workers := []Worker{{ID: "w00", Zone: "z0", Weight: 1}, {ID: "w01", Zone: "z0", Weight: 1}}
+	f.event(EndpointsEvent{Scope: ScopeStale, Workers: workers, AsOf: f.now})
+	f.state["w00"], f.state["w01"] = Ready, Ready
+	for _, w := range workers {
+		f.workers[w.ID] = w
+	}
+	f.advance(f.now + 10*ms)
+	id := f.request("safe", "fn", 2*time.Second)
+	f.endLoads(OK)
+	rejecting := f.firstWorker(id)
+	f.advance(f.now + 10*ms)
+	f.endAttempt(id, 0, Rejected)
+	f.sync(f.now)
+	require.Len(t, f.b.ready, 1)
+	assert.NotEqual(t, rejecting, f.b.ready[0].ID)
+	f.update(ScopeDelta, Worker{ID: rejecting, Zone: "z0", Weight: 1})
+	assert.Len(t, f.b.ready, 2)
+}
+
 // The operators are told which leases end, and how many are left.
 func TestChangesOfLeasesAreTold(t *testing.T) {
 	f, listedAt := newLeaseFleet(t, 2)
--- a/internal/permit/lease.go
+++ b/internal/permit/lease.go
@@ -62,6 +62,7 @@
 // safe for concurrent use.
 type Lease struct {
 	listed         time.Duration // as of when the list last named the worker as ready
+	assumed        bool          // that list may be old
 	proven         evidence      // that it was ready
 	reached        reached       // the same after it was reached anew
 	rejected       time.Duration // when the last call was written that it has rejected
@@ -110,8 +111,16 @@
 	return 0
 }
 
+// Assumed notes that a list names the worker as ready that may be old, as that of the start of a dispatcher. It
+// counts as one of that time, until the worker rejects a call.
+func (l *Lease) Assumed(asOf time.Duration) {
+	l.Listed(asOf)
+	l.assumed = true
+}
+
 // Listed notes that the list names the worker as ready, as of a time.
 func (l *Lease) Listed(asOf time.Duration) {
+	l.assumed = false
 	l.listed = max(l.listed, asOf)
 	l.settle(asOf)
 }
@@ -166,10 +175,14 @@
 
 // told returns as of when discovery last told that the worker is ready.
 func (l *Lease) told(syncedAt time.Duration) time.Duration {
-	if l.Contested(syncedAt) {
+	switch {
+	case l.Contested(syncedAt) && l.assumed:
+		return 0
+	case l.Contested(syncedAt):
 		return l.listed
+	default:
+		return max(l.listed, syncedAt)
 	}
-	return max(l.listed, syncedAt)
 }
 
 // Left returns how much of the lease is left at now, negative where it is over, where the poll of the last
--- a/internal/permit/lease_test.go
+++ b/internal/permit/lease_test.go
@@ -65,8 +65,14 @@
 		"loaded":                           {func(l *Lease) { l.Listed(1); l.Loaded(now, 1, 0) }, 0, now + terms.Loaded},
 		"loaded, a call accepted later": {func(l *Lease) { l.Listed(1); l.Loaded(now, 1, 0); l.Accepted(now+1, 1, 0) }, 0,
 			now + terms.Loaded},
-		"rejected, then loaded":              {func(l *Lease) { l.Listed(1); l.Rejected(now); l.Loaded(now+1, 1, 0) }, now + 5, now + 5 + terms.Synced},
-		"rejected, and a sync long after it": {func(l *Lease) { l.Rejected(now) }, now + contestTime, now + contestTime + terms.Synced},
+		"rejected, then loaded":                {func(l *Lease) { l.Listed(1); l.Rejected(now); l.Loaded(now+1, 1, 0) }, now + 5, now + 5 + terms.Synced},
+		"listed by an old list":                {func(l *Lease) { l.Assumed(now) }, now, now + terms.Synced},
+		"listed by an old list, rejected":      {func(l *Lease) { l.Assumed(now); l.Rejected(now + 1) }, now, 0},
+		"the same, and a sync since":           {func(l *Lease) { l.Assumed(now); l.Rejected(now + 1) }, now + 5, 0},
+		"the same, and a call accepted since":  {func(l *Lease) { l.Assumed(now); l.Rejected(now + 1); l.Accepted(now+2, 1, now) }, now, now + terms.Synced},
+		"listed by an old list, served before": {func(l *Lease) { l.Assumed(now); l.Accepted(now+1, 1, now); l.Rejected(now + 2) }, now, now + 1 + terms.Accepted},
+		"listed by an old list, then anew":     {func(l *Lease) { l.Assumed(now); l.Listed(now + 1); l.Rejected(now + 2) }, now, now + 1 + terms.Synced},
+		"rejected, and a sync long after it":   {func(l *Lease) { l.Rejected(now) }, now + contestTime, now + contestTime + terms.Synced},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var l Lease
