Keepalives: calls of a function go to workers first that have proven to be ready

Mend: of two workers that suit a request alike, the one goes first that is proven by an accepted call or a carried out load, and of two proven ones that whose proof ends first, if within 4 s. So each dispatcher keeps as many workers proven as its traffic can, a subset of its own: its calls are the heartbeats. While discovery is known to be silent, preference goes by the whole lease as before, which keeps more workers then.

Guard: TestCallsGoToProvenWorkersFirst, red where the preference is taken out.

--- a/internal/balancer/keepalive.go
+++ b/internal/balancer/keepalive.go
@@ -8,6 +8,7 @@
 )
 
 const (
+	renewWithin       = 4 * time.Second        // a proof is renewed by calls so long before its end
 	keepaliveInterval = 100 * time.Millisecond // how often leases that are about to end are looked for
 	keepaliveAhead    = time.Second            // a lease is renewed so long before its end ...
 	lastLeaseAhead    = 5 * time.Second / 2    // ... and so long where no other lease lasts longer
@@ -22,6 +23,37 @@
 	minKeptFunctions = 8
 )
 
+// preferred returns the better one of two workers that suit a request alike; best may be nil. A worker that was
+// proven to be ready by what it did goes before one of which only the list tells, so that a dispatcher keeps as
+// many workers proven as its calls can: an answer of discovery with nothing new cannot be told from an outage.
+// Of two proven ones, and of all while discovery is silent, it is the one whose lease ends first, if that is
+// soon, and else the first.
+func (b *Balancer) preferred(best, other *worker) *worker {
+	if best == nil {
+		return other
+	}
+	left, bestLeft := b.proofLeft(other), b.proofLeft(best)
+	if b.outOfSync() {
+		left, bestLeft = b.leaseLeft(other), b.leaseLeft(best)
+	}
+	switch {
+	case left <= 0:
+		return best
+	case bestLeft <= 0 || left < renewWithin && left < bestLeft:
+		return other
+	default:
+		return best
+	}
+}
+
+// proofLeft is how long a worker will still be known to be ready by what it did.
+func (b *Balancer) proofLeft(w *worker) time.Duration {
+	if !b.settings.EndpointLeases {
+		return 0
+	}
+	return w.lease.ProofLeft(b.settings.leaseTerms, b.now)
+}
+
 // keepaliveStep is how far a keepalive with a function at a worker has come.
 type keepaliveStep int
 
--- a/internal/balancer/leases.go
+++ b/internal/balancer/leases.go
@@ -9,9 +9,6 @@
 // when the choice is carried out.
 const LeaseChoiceMargin = 50 * time.Millisecond
 
-// renewWithin is how long before its end a lease is renewed by preference, while discovery is silent.
-const renewWithin = 4 * time.Second
-
 // leases is when the leases of the ready workers end, where the settings have them end. A worker without a
 // lease is out of all decisions, like one that drains: of the hot set, of placement and of load orders.
 type leases struct {
@@ -35,19 +32,6 @@
 	return b.settings.EndpointLeases && b.now-b.leases.syncedAt >= StaleSync
 }
 
-// preferred returns the better one of two workers that suit a request alike; best may be nil. It is the
-// first one, unless the lease of the other is about to end.
-func (b *Balancer) preferred(best, other *worker) *worker {
-	if best == nil {
-		return other
-	}
-	left := b.leaseLeft(other)
-	if left < renewWithin && left < b.leaseLeft(best) {
-		return other
-	}
-	return best
-}
-
 // available reports whether a worker takes part in decisions: the list calls it ready, and that is not too
 // old to be relied on.
 func (b *Balancer) available(w *worker) bool { return w.State == Ready && b.leaseLeft(w) >= 0 }
--- a/internal/balancer/leases_test.go
+++ b/internal/balancer/leases_test.go
@@ -179,6 +179,30 @@
 	assert.Len(t, f.b.ready, 3, "none has ended, long after the first ones would have")
 }
 
+// Guards against calls to workers that drained unheard while polls were answered with nothing new: calls of a function go to
+// workers of its group that have proven to be ready, as many as they can keep so, before those of which only the list tells.
+func TestCallsGoToProvenWorkersFirst(t *testing.T) {
+	f, _ := newLeaseFleet(t, 6)
+	for range 12 { // hot: its group is most of the fleet
+		f.serve("safe", "fn")
+	}
+	for range 10 { // syncs go on, and a call comes every two seconds
+		f.advance(f.now + 2*time.Second)
+		f.sync(f.now)
+		f.serve("safe", "fn")
+	}
+	proven := map[WorkerID]bool{}
+	for _, w := range f.b.ready {
+		proven[w.ID] = f.b.proofLeft(w) > 0
+	}
+	for range 10 {
+		f.advance(f.now + 2*time.Second)
+		f.sync(f.now)
+		assert.True(t, proven[f.serve("safe", "fn")])
+	}
+	assert.Len(t, f.b.ready, 6)
+}
+
 // Load orders need a lease as calls do, also in the moment before the next sweep finds that it has ended.
 func TestNothingIsOrderedWithoutALease(t *testing.T) {
 	f, listedAt := newLeaseFleet(t, 1)
--- a/internal/balancer/placement.go
+++ b/internal/balancer/placement.go
@@ -88,14 +88,14 @@
 	return best, best != nil
 }
 
-// findCandidates looks at the workers in the function's order until one is best. While discovery is silent it
-// looks at the whole group: calls that are served are all that renews leases.
+// findCandidates looks at the workers in the function's order until one is best. Where leases end it looks at the
+// whole group: calls are what proves that workers are ready.
 func (b *Balancer) findCandidates(r *request) candidates {
 	f := r.function
 	var found candidates
 	visited := 0
 	loadedByPeers := b.loadedByPeers(f)
-	renewing := b.outOfSync()
+	renewing := b.settings.EndpointLeases
 	for i := range b.ready {
 		if found.best != nil && i >= f.groupSize+r.extraCandidates {
 			break
--- a/internal/permit/lease.go
+++ b/internal/permit/lease.go
@@ -192,7 +192,12 @@
 	if told := l.told(syncedAt); told > 0 {
 		end = told + terms.Synced
 	}
-	end = max(end, l.proven.end(terms))
+	return max(end-now, l.ProofLeft(terms, now))
+}
+
+// ProofLeft returns how much of the lease is left at now by what the worker has done, whatever the list says.
+func (l *Lease) ProofLeft(terms LeaseTerms, now time.Duration) time.Duration {
+	end := l.proven.end(terms)
 	if now >= l.reached.countsFrom() {
 		end = max(end, l.reached.end(terms))
 	}
