Keepalives: rare functions go to a proven worker with a copy before an unproven home

Mend: where the best worker has nothing that speaks for it, the first of the next sixteen in the function's order goes before it that has a copy and was heard of. For this preference, and that within a group, an accepted call counts at once; for the lease it counts as before (EvidenceLeft, Left).

Guard: TestCallsGoToProvenWorkersBeforeAnUnprovenHome.

--- a/internal/balancer/keepalive.go
+++ b/internal/balancer/keepalive.go
@@ -32,7 +32,7 @@
 	if best == nil {
 		return other
 	}
-	left, bestLeft := b.proofLeft(other), b.proofLeft(best)
+	left, bestLeft := b.evidenceLeft(other), b.evidenceLeft(best)
 	if b.outOfSync() {
 		left, bestLeft = b.leaseLeft(other), b.leaseLeft(best)
 	}
@@ -46,12 +46,12 @@
 	}
 }
 
-// proofLeft is how long a worker will still be known to be ready by what it did.
-func (b *Balancer) proofLeft(w *worker) time.Duration {
+// evidenceLeft is for how long what a worker has done will still speak for it.
+func (b *Balancer) evidenceLeft(w *worker) time.Duration {
 	if !b.settings.EndpointLeases {
 		return 0
 	}
-	return w.lease.ProofLeft(b.settings.leaseTerms, b.now)
+	return w.lease.EvidenceLeft(b.settings.leaseTerms, b.now)
 }
 
 // keepaliveStep is how far a keepalive with a function at a worker has come.
--- a/internal/balancer/leases_test.go
+++ b/internal/balancer/leases_test.go
@@ -193,7 +193,7 @@
 	}
 	proven := map[WorkerID]bool{}
 	for _, w := range f.b.ready {
-		proven[w.ID] = f.b.proofLeft(w) > 0
+		proven[w.ID] = f.b.evidenceLeft(w) > 0
 	}
 	for range 10 {
 		f.advance(f.now + 2*time.Second)
@@ -203,6 +203,28 @@
 	assert.Len(t, f.b.ready, 6)
 }
 
+// The same for a rare function: a worker that has a copy and was heard of goes before its home, of which only the list tells. The
+// home is the first again once it was heard of.
+func TestCallsGoToProvenWorkersBeforeAnUnprovenHome(t *testing.T) {
+	f, _ := newLeaseFleet(t, 8)
+	home := f.serve("safe", "fn")
+	f.advance(f.now + 8*time.Second)
+	f.sync(f.now)
+	fn := f.b.functions["fn"]
+	other := f.b.workerAt(fn, 3)
+	require.NotEqual(t, home, other.ID)
+	fn.placement(other).setLoaded(1, f.now+time.Minute)
+	fn.placement(f.b.workers[home]).setLoaded(1, f.now+time.Minute)
+	assert.Equal(t, home, f.serve("safe", "fn"), "nobody was heard of")
+	fn.placement(f.b.workers[home]).setLoaded(1, f.now+time.Minute)
+	f.advance(f.now + 8*time.Second)
+	f.sync(f.now)
+	other.lease.Accepted(f.now, 0, f.now)
+	assert.Equal(t, other.ID, f.serve("safe", "fn"))
+	f.b.workers[home].lease.Accepted(f.now, 0, f.now)
+	assert.Equal(t, home, f.serve("safe", "fn"))
+}
+
 // Load orders need a lease as calls do, also in the moment before the next sweep finds that it has ended.
 func TestNothingIsOrderedWithoutALease(t *testing.T) {
 	f, listedAt := newLeaseFleet(t, 1)
--- a/internal/balancer/placement.go
+++ b/internal/balancer/placement.go
@@ -6,12 +6,14 @@
 )
 
 const (
-	maxCandidates      = 128 // healthy workers that are looked at for one request
-	maxExtraCandidates = 3   // workers beyond its group that a request may go to
-	minCallsPerIdleTTL = 3.0 // expected calls within the idle time by which a copy is taken to be loaded
-	loadedTrustRatio   = 0.6 // a copy is believed to be loaded for this part of its idle time
-	overloadFactor     = 1.5 // a worker is passed over above this multiple of the mean load ...
-	overloadSlack      = 1.5 // ... plus this many requests
+	maxCandidates = 128 // healthy workers that are looked at for one request
+	// maxProvenCandidates is how many workers beyond its group are looked at for one that is proven to be ready.
+	maxProvenCandidates = 16
+	maxExtraCandidates  = 3   // workers beyond its group that a request may go to
+	minCallsPerIdleTTL  = 3.0 // expected calls within the idle time by which a copy is taken to be loaded
+	loadedTrustRatio    = 0.6 // a copy is believed to be loaded for this part of its idle time
+	overloadFactor      = 1.5 // a worker is passed over above this multiple of the mean load ...
+	overloadSlack       = 1.5 // ... plus this many requests
 )
 
 // candidate is the i-th worker for a function: its group from a rotation on, then onward in rendezvous order.
@@ -98,6 +100,7 @@
 	renewing := b.settings.EndpointLeases
 	for i := range b.ready {
 		if found.best != nil && i >= f.groupSize+r.extraCandidates {
+			b.considerProven(r, &found, i)
 			break
 		}
 		w := b.candidate(f, r.rotation, i)
@@ -135,6 +138,25 @@
 	return found
 }
 
+// considerProven takes a worker in place of the best one if that is not proven to be ready: the first one of the
+// next in the function's order that is, and where a copy is loaded.
+func (b *Balancer) considerProven(r *request, found *candidates, next int) {
+	if !b.settings.EndpointLeases || b.outOfSync() || b.evidenceLeft(found.best) > 0 {
+		return
+	}
+	for i := next; i < min(next+maxProvenCandidates, len(b.ready)); i++ {
+		w := b.candidate(r.function, r.rotation, i)
+		p := b.look(r.function, w)
+		if !b.isLoaded(p) || b.evidenceLeft(w) <= 0 || b.now < p.avoidUntil || b.overloaded(w) {
+			continue
+		}
+		if b.mayAttempt(r, w) && b.healthy(r, w) {
+			found.best = w
+			return
+		}
+	}
+}
+
 // considerFallback takes a worker with room for the fallback if its wait is the shortest yet.
 func (b *Balancer) considerFallback(found *candidates, w *worker) {
 	if !w.hasRoom(b.now) {
--- a/internal/permit/lease.go
+++ b/internal/permit/lease.go
@@ -192,18 +192,19 @@
 	if told := l.told(syncedAt); told > 0 {
 		end = told + terms.Synced
 	}
-	return max(end-now, l.ProofLeft(terms, now))
-}
-
-// ProofLeft returns how much of the lease is left at now by what the worker has done, whatever the list says.
-func (l *Lease) ProofLeft(terms LeaseTerms, now time.Duration) time.Duration {
-	end := l.proven.end(terms)
+	end = max(end, l.proven.end(terms))
 	if now >= l.reached.countsFrom() {
 		end = max(end, l.reached.end(terms))
 	}
 	return end - now
 }
 
+// EvidenceLeft returns for how long what the worker has done will still speak for it, whatever the list says. It
+// is no right to begin anything, since it also counts what the worker did right after it was reached anew.
+func (l *Lease) EvidenceLeft(terms LeaseTerms, now time.Duration) time.Duration {
+	return l.proven.with(l.reached.evidence).end(terms) - now
+}
+
 // ProvenUntil returns when the lease ends for good without further evidence. It may be over in between, see
 // ResumesAt.
 func (l *Lease) ProvenUntil(terms LeaseTerms, syncedAt time.Duration) time.Duration {
--- a/internal/permit/lease_test.go
+++ b/internal/permit/lease_test.go
@@ -105,6 +105,7 @@
 	}
 	assert.Equal(t, since+returnTold, l.ResumesAt(terms, served))
 	assert.Equal(t, served+terms.Accepted, l.ProvenUntil(terms, told), "though it is over in between")
+	assert.Equal(t, terms.Accepted, l.EvidenceLeft(terms, served), "though it is no proof yet")
 	assert.Zero(t, l.ResumesAt(terms, since+returnTold), "it has resumed")
 	l.Accepted(served+1, served, told)
 	assert.Zero(t, l.ResumesAt(terms, served+2), "reached anew once more, it would be over before it counts")
