Soak: quiet times within long outages, drawn apart from the plans

With KITEFALL_SOAK_QUIET set each outage over 9 s has a quiet time of 0.2 to 12 s that begins in its first half. It is drawn from a stream of its own: the plans of all seeds stay as they are.

--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http/httptest"
+	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -243,3 +245,19 @@
 	assert.Equal(t, RandomPlan(3, planLength), RandomPlan(3, planLength))
 	assert.NotEqual(t, RandomPlan(3, planLength), RandomPlan(4, planLength))
 }
+
+// Quiet times are added to long outages alone, and change nothing else.
+func TestAddQuietTimes(t *testing.T) {
+	for _, seed := range []uint64{3, 4} {
+		plan := RandomPlan(seed, planLength)
+		plan.AddQuietTimes()
+		added := 0
+		for _, fault := range plan.Faults {
+			if !slices.ContainsFunc(RandomPlan(seed, planLength).Faults, func(f Fault) bool { return reflect.DeepEqual(f, fault) }) {
+				assert.Equal(t, FaultQuiet, fault.Kind)
+				added++
+			}
+		}
+		assert.Equal(t, seed%longSeedPeriod == 0, added == 1, "%d", seed)
+	}
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -167,6 +167,23 @@
 	}
 }
 
+// quietSpan is how long clients are quiet within a long outage.
+var quietSpan = span{200 * time.Millisecond, 12 * time.Second}
+
+// AddQuietTimes has clients be quiet for a time in each long outage of discovery. The times are drawn apart from the rest of the
+// plan, which stays as its seed has it.
+func (p *Plan) AddQuietTimes() {
+	random := rand.New(rand.NewPCG(p.Seed, 2))
+	for _, fault := range slices.Clone(p.Faults) {
+		if fault.Kind != FaultOutage || fault.Length < longestSpans[len(longestSpans)-1].least {
+			continue
+		}
+		begin := time.Duration(random.Float64() * float64(fault.Length) / 2)
+		p.Faults = append(p.Faults, Fault{At: fault.At + begin, Kind: FaultQuiet, Length: drawLength(random, quietSpan)})
+	}
+	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
+}
+
 // span bounds a time that is drawn.
 type span struct{ least, most time.Duration }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -15,6 +15,7 @@
 	firstSeedEnv = "KITEFALL_SOAK_SEED"  // the first seed
 	seedsEnv     = "KITEFALL_SOAK_SEEDS" // how many
 	parallelEnv  = "KITEFALL_SOAK_PARALLEL"
+	quietEnv     = "KITEFALL_SOAK_QUIET"   // set: clients are also quiet within long outages
 	programEnv   = "KITEFALL_SOAK_PROGRAM" // a dispatcher that package wallstep has built, in place of this version
 )
 
@@ -50,6 +51,9 @@
 			folder, err := os.MkdirTemp("", "kitefall-soak-run")
 			require.NoError(t, err)
 			plan := RandomPlan(seed, planLength)
+			if os.Getenv(quietEnv) != "" {
+				plan.AddQuietTimes()
+			}
 			history, err := Run(program, folder, plan)
 			require.NoError(t, err)
 			t.Logf("%d dispatchers, %d workers: %v, served by what discovery told: %v", plan.Dispatchers,
