Metrics: asks and orders of keepalives have a counter of their own

Asks were counted as load orders that ended ok, so that the counter said more orders than were given. Now keepalives counts what was asked and how each order of a keepalive ended; load_orders counts orders alone.

--- a/internal/dispatch/loads.go
+++ b/internal/dispatch/loads.go
@@ -24,6 +24,7 @@
 type loadOrder struct {
 	key      loadKey
 	created  time.Time
+	copies   int           // 0: it only asks, for a keepalive
 	proofAge time.Duration // of a keepalive, see balancer.Load
 
 	// Set once a pool has taken the order.
@@ -35,7 +36,8 @@
 
 // startLoad carries out the balancer's Load.
 func (c *Core) startLoad(load balancer.Load) {
-	order := &loadOrder{key: loadKey{load.Worker, load.Function}, created: time.Now(), proofAge: load.ProofAge}
+	order := &loadOrder{key: loadKey{load.Worker, load.Function}, created: time.Now(), copies: load.Copies,
+		proofAge: load.ProofAge}
 	c.loads[order.key] = order
 	if reason := c.permitLoad(load, order.created); reason != permit.Allowed {
 		noteRefusal(reason, order.created, "load order", "worker", string(load.Worker), "function", string(load.Function))
@@ -83,7 +85,7 @@
 	}
 	delete(c.loads, order.key)
 	c.timers.remove(order.timeout)
-	metrics.LoadOrders.Add(result.Status.String())
+	order.count(result.Status)
 	if result.Status != balancer.OK {
 		loadNotDoneLog.Log(slog.LevelInfo, "core: load order not done", "worker", string(order.key.worker),
 			"function", string(order.key.function), "status", result.Status.String())
@@ -101,6 +103,18 @@
 	})
 }
 
+// count counts the end of an order.
+func (o *loadOrder) count(status balancer.Status) {
+	switch {
+	case o.copies == 0:
+		metrics.Keepalives.Add("asked")
+		return
+	case o.proofAge > 0:
+		metrics.Keepalives.Add(status.String())
+	}
+	metrics.LoadOrders.Add(status.String())
+}
+
 // recordKeepalive renews a lease by a keepalive that was carried out. It returns when a load order was written, in the
 // balancer's time, where that is evidence; 0: it is not.
 func (c *Core) recordKeepalive(order *loadOrder, result worker.Result) (writtenAt time.Duration) {
--- a/internal/dispatch/permits_test.go
+++ b/internal/dispatch/permits_test.go
@@ -143,7 +143,10 @@
 	order.ProofAge = 30 * time.Millisecond
 	end(balancer.Rejected)
 	assert.Negative(t, c.leaseLeft("s-1", written))
+	keepalives, orders := metrics.Keepalives.Get(balancer.OK.String()), metrics.LoadOrders.Get(balancer.OK.String())
 	end(balancer.OK)
+	assert.Equal(t, keepalives+1, metrics.Keepalives.Get(balancer.OK.String()))
+	assert.Equal(t, orders+1, metrics.LoadOrders.Get(balancer.OK.String()), "it is one of them")
 	assert.Equal(t, terms.Loaded-order.ProofAge, c.leaseLeft("s-1", written))
 	order.Copies = 0
 	acceptCall(c, "consulta")
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -35,6 +35,8 @@
 	Leases = newCounter("leases")
 	// LoadOrders counts load orders that have ended, by status.
 	LoadOrders = newCounter("load_orders")
+	// Keepalives counts the asks and the load orders of keepalives that have ended, as asked and by status.
+	Keepalives = newCounter("keepalives")
 	// Polls counts polls of discovery that have ended, by outcome.
 	Polls = newCounter("polls")
 	// Refusals counts what was refused at the last moment before it would have begun, by reason.
