Keepalives leave orders to calls that prove workers; a full worker keeps its list

Two parts of the new code asked for more than they need. Calls left one order of the load budget for keepalives whenever discovery was silent; now only where fewer than three workers are proven. And a worker that rejected once, because it is full, lost the list of the start altogether; now that list goes on counting for as long as a call speaks for the worker that it has accepted since, which a drain outlasts by 2 s at most.

--- a/internal/balancer/keepalive.go
+++ b/internal/balancer/keepalive.go
@@ -102,6 +102,15 @@
 	return budget.LeftAt(kept.longest-lastLeaseAhead) > float64(kept.count)
 }
 
+// reservedOrders is how many load orders are left for keepalives: none where discovery is heard, or calls prove
+// enough workers.
+func (b *Balancer) reservedOrders() float64 {
+	if !b.outOfSync() || b.keptLeases(keepaliveAhead).count >= maxKeptWorkers {
+		return 0
+	}
+	return keepaliveReserve
+}
+
 // keepLastLease renews a lease where none lasts for lastLeaseAhead. Where the budget would be spent by then, as
 // after a burst of calls, it does so before that.
 func (b *Balancer) keepLastLease() {
--- a/internal/balancer/loadorders.go
+++ b/internal/balancer/loadorders.go
@@ -25,7 +25,7 @@
 	if !b.mayOrderLoad(f, p) || float64(b.loads.inFlight) >= maxInFlight {
 		return false
 	}
-	if b.outOfSync() && b.loads.budget.LeftAt(b.now) < 1+keepaliveReserve {
+	if reserved := b.reservedOrders(); reserved > 0 && b.loads.budget.LeftAt(b.now) < 1+reserved {
 		return false
 	}
 	if b.loads.budget.Take(b.now) != permit.Allowed {
@@ -130,9 +130,10 @@
 }
 
 // preloadHotSet orders missing copies of hot functions at their group, where own calls must keep them loaded.
-// While discovery is silent it leaves keepalives what they need once the calls have stopped.
+// It leaves keepalives what they need once the calls have stopped.
 func (b *Balancer) preloadHotSet() {
-	if b.outOfSync() && b.loads.budget.LeftAt(b.now+b.settings.leaseTerms.Loaded) < 1+keepaliveReserve {
+	reserved := b.reservedOrders()
+	if reserved > 0 && b.loads.budget.LeftAt(b.now+b.settings.leaseTerms.Loaded) < 1+reserved {
 		return
 	}
 	for _, f := range b.hotSet.functions {
--- a/internal/permit/lease.go
+++ b/internal/permit/lease.go
@@ -112,7 +112,7 @@
 }
 
 // Assumed notes that a list names the worker as ready that may be old, as that of the start of a dispatcher. It
-// counts as one of that time, until the worker rejects a call.
+// counts as one of that time, until the worker rejects a call without having accepted one shortly before.
 func (l *Lease) Assumed(asOf time.Duration) {
 	l.Listed(asOf)
 	l.assumed = true
@@ -189,8 +189,11 @@
 // sync was sent at syncedAt.
 func (l *Lease) Left(terms LeaseTerms, syncedAt, now time.Duration) time.Duration {
 	var end time.Duration
-	if told := l.told(syncedAt); told > 0 {
+	switch told := l.told(syncedAt); {
+	case told > 0:
 		end = told + terms.Synced
+	case l.assumed: // the worker rejects: the old list counts for as long as what it has accepted speaks for it
+		end = min(l.listed+terms.Synced, l.reached.evidence.end(terms))
 	}
 	end = max(end, l.proven.end(terms))
 	if now >= l.reached.countsFrom() {
--- a/internal/permit/lease_test.go
+++ b/internal/permit/lease_test.go
@@ -71,8 +71,13 @@
 		"the same, and a sync since":           {func(l *Lease) { l.Assumed(now); l.Rejected(now + 1) }, now + 5, 0},
 		"the same, and a call accepted since":  {func(l *Lease) { l.Assumed(now); l.Rejected(now + 1); l.Accepted(now+2, 1, now) }, now, now + terms.Synced},
 		"listed by an old list, served before": {func(l *Lease) { l.Assumed(now); l.Accepted(now+1, 1, now); l.Rejected(now + 2) }, now, now + 1 + terms.Accepted},
-		"listed by an old list, then anew":     {func(l *Lease) { l.Assumed(now); l.Listed(now + 1); l.Rejected(now + 2) }, now, now + 1 + terms.Synced},
-		"rejected, and a sync long after it":   {func(l *Lease) { l.Rejected(now) }, now + contestTime, now + contestTime + terms.Synced},
+		"listed by an old list, served by a new connection, rejected": {func(l *Lease) {
+			l.Assumed(now)
+			l.Accepted(now+1, now+1, now)
+			l.Rejected(now + 2)
+		}, now, now + 1 + terms.Accepted},
+		"listed by an old list, then anew":   {func(l *Lease) { l.Assumed(now); l.Listed(now + 1); l.Rejected(now + 2) }, now, now + 1 + terms.Synced},
+		"rejected, and a sync long after it": {func(l *Lease) { l.Rejected(now) }, now + contestTime, now + contestTime + terms.Synced},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var l Lease
