--- a/internal/permit/lease.go
+++ b/internal/permit/lease.go
@@ -16,13 +16,12 @@
 	leaseMargin = 200 * time.Millisecond
 
 	// contestTime is for how long polls that are answered with nothing new do not renew the lease of a
-	// worker that rejects. It is longer than the outages that were seen, since a worker that drains would
-	// reject the trial that ends it.
+	// worker that rejects. It outlasts an outage: a worker that drains would reject the call after it.
 	contestTime = 30 * time.Second
 )
 
-// A worker that begins to drain still accepts calls for a while after the event. Up to 1.5 s were measured,
-// where the grace was 1 s; it is taken for this long, and for the grace and drainTail where that is longer.
+// A worker that begins to drain accepts calls for so long after the event, or for the grace and drainTail where
+// that is longer.
 const (
 	minDrainAcceptance = 2 * time.Second
 	drainTail          = time.Second
