--- a/internal/balancer/actions.go
+++ b/internal/balancer/actions.go
@@ -35,8 +35,8 @@
 	Copies   int
 	// StartWithin is the time in which it must reach the worker, or not at all; 0: while its answer may come.
 	StartWithin time.Duration
-	// ProofAge is set for an order of a keepalive, where no copy stood before: once it is carried out, its worker
-	// has begun a load no longer than this before the order was written. 0: it proves nothing.
+	// ProofAge is set for an order of a keepalive, where no copy stood before: once it is carried out, its
+	// worker has begun a load no longer than this before the order was written. 0: it proves nothing.
 	ProofAge time.Duration
 }
 
--- a/internal/balancer/keepalive.go
+++ b/internal/balancer/keepalive.go
@@ -12,8 +12,8 @@
 	keepaliveInterval = 100 * time.Millisecond // how often leases that are about to end are looked for
 	keepaliveAhead    = time.Second            // a lease is renewed so long before its end ...
 	lastLeaseAhead    = 5 * time.Second / 2    // ... and so long where no other lease lasts longer
-	keepalivePatience = 500 * time.Millisecond // a keepalive that takes longer does not count as one that will succeed
-	keepaliveRetry    = 5 * time.Second        // a worker that has not carried one out is left alone for this long
+	keepalivePatience = 500 * time.Millisecond // a keepalive that takes longer counts as lost
+	keepaliveRetry    = 5 * time.Second        // a worker without success is left alone for so long
 	// maxKeptWorkers is how many workers keepalives are for; with so many proven by calls there are none.
 	maxKeptWorkers   = 3
 	maxKeepaliveAsks = 4 // of one keepalive
@@ -23,11 +23,11 @@
 	minKeptFunctions = 8
 )
 
-// preferred returns the better one of two workers that suit a request alike; best may be nil. A worker that was
-// proven to be ready by what it did goes before one of which only the list tells, so that a dispatcher keeps as
-// many workers proven as its calls can: an answer of discovery with nothing new cannot be told from an outage.
-// Of two proven ones, and of all while discovery is silent, it is the one whose lease ends first, if that is
-// soon, and else the first.
+// preferred returns the better one of two workers that suit a request alike; best may be nil. A worker that
+// was proven to be ready by what it did goes before one of which only the list tells, so that a dispatcher
+// keeps as many workers proven as its calls can: an answer of discovery with nothing new cannot be told from
+// an outage. Of two proven ones, and of all while discovery is silent, it is the one whose lease ends first,
+// if that is soon, and else the first.
 func (b *Balancer) preferred(best, other *worker) *worker {
 	if best == nil {
 		return other
@@ -70,9 +70,9 @@
 }
 
 // keepLeases renews leases of a few workers while discovery is silent and calls are too rare to renew them:
-// otherwise nobody would be left who may be called until discovery is heard again. A worker that drains rejects
-// a load order, unless a copy stands there; one that carries it out takes what is new. So a keepalive asks how
-// many copies of a function stand, and orders one where none does.
+// otherwise nobody would be left who may be called until discovery is heard again. A worker that drains
+// rejects a load order, unless a copy stands there; one that carries it out takes what is new. So a keepalive
+// asks how many copies of a function stand, and orders one where none does.
 //
 // Orders count for the load budget, which without calls lasts for two or three workers. So the last lease is
 // renewed early, and further ones only where the budget will still serve its next renewal.
@@ -91,8 +91,8 @@
 	}
 }
 
-// mayKeepFurther reports whether the budget lasts for a further worker besides those that are kept, and still for
-// the next renewal of the last lease. What the budget has by requests may be gone by then.
+// mayKeepFurther reports whether the budget lasts for a further worker besides those that are kept, and still
+// for the next renewal of the last lease. What the budget has by requests may be gone by then.
 func (b *Balancer) mayKeepFurther(kept keptLeases) bool {
 	budget := &b.loads.budget
 	b.keepalives.orders = permit.After(b.keepalives.orders, b.now-budget.Window-budget.Margin)
@@ -102,8 +102,8 @@
 	return budget.LeftAt(kept.longest-lastLeaseAhead) > float64(kept.count)
 }
 
-// reservedOrders is how many load orders are left for keepalives: none where discovery is heard, or calls prove
-// enough workers.
+// reservedOrders is how many load orders are left for keepalives: none where discovery is heard, or calls
+// prove enough workers.
 func (b *Balancer) reservedOrders() float64 {
 	if !b.outOfSync() || b.keptLeases(keepaliveAhead).count >= maxKeptWorkers {
 		return 0
@@ -111,8 +111,8 @@
 	return keepaliveReserve
 }
 
-// keepLastLease renews a lease where none lasts for lastLeaseAhead. Where the budget would be spent by then, as
-// after a burst of calls, it does so before that.
+// keepLastLease renews a lease where none lasts for lastLeaseAhead. Where the budget would be spent by then,
+// as after a burst of calls, it does so before that.
 func (b *Balancer) keepLastLease() {
 	kept := b.keptLeases(lastLeaseAhead)
 	if kept.count == 0 {
@@ -162,9 +162,9 @@
 	return w.lease.ProvenUntil(b.settings.leaseTerms, b.leases.syncedAt)
 }
 
-// keepNext begins a keepalive with the next worker whose lease ends within a time, and reports whether there is
-// one: of a zone with the fewest that are kept, and first in an order of this dispatcher's own, so that others
-// of a fleet keep others.
+// keepNext begins a keepalive with the next worker whose lease ends within a time, and reports whether there
+// is one: of a zone with the fewest that are kept, and first in an order of this dispatcher's own, so that
+// others of a fleet keep others.
 func (b *Balancer) keepNext(kept keptLeases, ahead time.Duration) bool {
 	if b.loads.budget.LeftAt(b.now) < 1 {
 		return false
@@ -176,10 +176,14 @@
 			continue
 		}
 		key := rendezvousKey(mix(b.seed), w.hash, w.fullWeight)
-		if next == nil || cmp.Or(cmp.Compare(kept.zones[w.zone], kept.zones[next.zone]), cmp.Compare(key, nextKey)) < 0 {
-			next = w
-			nextKey = key
+		if next != nil {
+			byZone := cmp.Compare(kept.zones[w.zone], kept.zones[next.zone])
+			if cmp.Or(byZone, cmp.Compare(key, nextKey)) >= 0 {
+				continue
+			}
 		}
+		next = w
+		nextKey = key
 	}
 	return next != nil && b.askKeepalive(next)
 }
@@ -189,8 +193,9 @@
 	return w.keepaliveAt == 0 && b.now >= w.noKeepaliveUntil && !w.unavailable() && b.leaseLeft(w) >= 0
 }
 
-// askKeepalive begins a keepalive with a worker: it asks for the function that is called most of those that are
-// not believed to be loaded there, or else for the one that is called least. It reports whether there is one.
+// askKeepalive begins a keepalive with a worker: it asks for the function that is called most of those that
+// are not believed to be loaded there, or else for the one that is called least. It reports whether there is
+// one.
 func (b *Balancer) askKeepalive(w *worker) bool {
 	var absent, loaded *function
 	for _, f := range b.functions {
@@ -258,8 +263,8 @@
 	return step == keepaliveAsked
 }
 
-// askAgain goes on with a keepalive where copies of its function stand: with another function, and after a few
-// with the same, whose idle copies are unloaded first.
+// askAgain goes on with a keepalive where copies of its function stand: with another function, and after a
+// few with the same, whose idle copies are unloaded first.
 func (b *Balancer) askAgain(f *function, p *placement, copies int) bool {
 	if p.worker.keepaliveAsks >= maxKeepaliveAsks {
 		return false
--- a/internal/balancer/loadorders.go
+++ b/internal/balancer/loadorders.go
@@ -35,7 +35,8 @@
 	return true
 }
 
-// mayOrderLoad reports whether copies may be ordered at a worker, as far as that is not for the budget to say.
+// mayOrderLoad reports whether copies may be ordered at a worker, as far as that is not for the budget to
+// say.
 func (b *Balancer) mayOrderLoad(f *function, p *placement) bool {
 	start := permit.Start{Worker: p.worker.State.Permitted(), LeaseLeft: b.leaseLeft(p.worker)}
 	if p.ordered || b.now < p.noOrderUntil || start.Check() != permit.Allowed {
--- a/internal/balancer/placement.go
+++ b/internal/balancer/placement.go
@@ -90,8 +90,8 @@
 	return best, best != nil
 }
 
-// findCandidates looks at the workers in the function's order until one is best. Where leases end it looks at the
-// whole group: calls are what proves that workers are ready.
+// findCandidates looks at the workers in the function's order until one is best. Where leases end it looks at
+// the whole group: calls are what proves that workers are ready.
 func (b *Balancer) findCandidates(r *request) candidates {
 	f := r.function
 	var found candidates
@@ -138,8 +138,8 @@
 	return found
 }
 
-// considerProven takes a worker in place of the best one if that is not proven to be ready: the first one of the
-// next in the function's order that is, and where a copy is loaded.
+// considerProven takes a worker in place of the best one if that is not proven to be ready: the first one of
+// the next in the function's order that is, and where a copy is loaded.
 func (b *Balancer) considerProven(r *request, found *candidates, next int) {
 	if !b.settings.EndpointLeases || b.outOfSync() || b.evidenceLeft(found.best) > 0 {
 		return
--- a/internal/permit/lease.go
+++ b/internal/permit/lease.go
@@ -20,8 +20,8 @@
 	contestTime = 30 * time.Second
 )
 
-// A worker that begins to drain accepts calls for so long after the event, or for the grace and drainTail where
-// that is longer.
+// A worker that begins to drain accepts calls for so long after the event, or for the grace and drainTail
+// where that is longer.
 const (
 	minDrainAcceptance = 2 * time.Second
 	drainTail          = time.Second
@@ -110,8 +110,8 @@
 	return 0
 }
 
-// Assumed notes that a list names the worker as ready that may be old, as that of the start of a dispatcher. It
-// counts as one of that time, until the worker rejects a call without having accepted one shortly before.
+// Assumed notes that a list names the worker as ready that may be old, as that of the start of a dispatcher.
+// It counts as one of that time, until the worker rejects a call without having accepted one shortly before.
 func (l *Lease) Assumed(asOf time.Duration) {
 	l.Listed(asOf)
 	l.assumed = true
@@ -201,8 +201,8 @@
 	return end - now
 }
 
-// EvidenceLeft returns for how long what the worker has done will still speak for it, whatever the list says. It
-// is no right to begin anything, since it also counts what the worker did right after it was reached anew.
+// EvidenceLeft returns for how long what the worker has done will still speak for it, whatever the list says.
+// It is no right to begin anything, since it also counts what the worker did right after it was reached anew.
 func (l *Lease) EvidenceLeft(terms LeaseTerms, now time.Duration) time.Duration {
 	return l.proven.with(l.reached.evidence).end(terms) - now
 }
