Keepalives: a dispatcher of many calls calls workers in turn, also those that return

Cause: calls went to proven workers before others whatever the traffic.

Mend: the preference holds only where own calls are too few to prove each worker again and again (fewer than three counted for each, as for judging workers by own calls).

--- a/internal/balancer/keepalive.go
+++ b/internal/balancer/keepalive.go
@@ -27,11 +27,15 @@
 // was proven to be ready by what it did goes before one of which only the list tells, so that a dispatcher
 // keeps as many workers proven as its calls can: an answer of discovery with nothing new cannot be told from
 // an outage. Of two proven ones, and of all while discovery is silent, it is the one whose lease ends first,
-// if that is soon, and else the first.
+// if that is soon, and else the first. Where calls are many enough to prove all workers, it is the first: one
+// that is new has to get calls, too.
 func (b *Balancer) preferred(best, other *worker) *worker {
 	if best == nil {
 		return other
 	}
+	if !b.outOfSync() && !b.fewCalls() {
+		return best
+	}
 	left, bestLeft := b.evidenceLeft(other), b.evidenceLeft(best)
 	if b.outOfSync() {
 		left, bestLeft = b.leaseLeft(other), b.leaseLeft(best)
@@ -46,6 +50,9 @@
 	}
 }
 
+// fewCalls reports whether own calls are too few to prove each worker again and again.
+func (b *Balancer) fewCalls() bool { return b.hotSet.callsPerWorker < minOwnCalls }
+
 // evidenceLeft is for how long what a worker has done will still speak for it.
 func (b *Balancer) evidenceLeft(w *worker) time.Duration {
 	if !b.settings.EndpointLeases {
--- a/internal/balancer/placement.go
+++ b/internal/balancer/placement.go
@@ -141,7 +141,7 @@
 // considerProven takes a worker in place of the best one if that is not proven to be ready: the first one of
 // the next in the function's order that is, and where a copy is loaded.
 func (b *Balancer) considerProven(r *request, found *candidates, next int) {
-	if !b.settings.EndpointLeases || b.outOfSync() || b.evidenceLeft(found.best) > 0 {
+	if !b.settings.EndpointLeases || b.outOfSync() || !b.fewCalls() || b.evidenceLeft(found.best) > 0 {
 		return
 	}
 	for i := next; i < min(next+maxProvenCandidates, len(b.ready)); i++ {
