Answers to slow readers are delivered before their connection is closed as idle

Callers saw: operators send the clients away, or restart a dispatcher, and clients that read slowly lose whole answers of requests that a worker had run, bookings among them ("unexpected EOF", "connection reset by peer").

Cause: a connection counted as idle as soon as its answers were in the kernel's send buffer. The socket was closed, the client, which had not read the end of the stream, sent its next request, and the kernel answered it with a reset and dropped the rest of the send buffer.

Change: permit.ConnectionUse has the fact Undelivered, which every close as idle asks (drain, eviction, idle timeout). What is sent but not acknowledged is awaited by a lingering close (RFC 9112, 9.6); an eviction, which needs the descriptor, takes another connection. The idle timeout counts from the last bytes taken, and disconnects a client that takes nothing for its length.

Why it works: bytes that the peer's kernel has acknowledged can be read after a reset, and a socket that is still open answers late requests with no reset.

--- a/internal/frontend/resp/closereason.go
+++ b/internal/frontend/resp/closereason.go
@@ -11,6 +11,7 @@
 	closedMalformed     closeReason = "malformed_request" // the client violated the protocol
 	closedAnswersUnread closeReason = "answers_unread"    // the client sends requests without reading the answers
 	closedWriteFailed   closeReason = "write_failed"      // an answer could not be written before its deadline
+	closedStalled       closeReason = "stalled"           // the client has taken nothing of its answers for Timeouts.Idle
 	closedTimedOut      closeReason = "timed_out"         // the client exceeded one of the Timeouts
 	closedForNewConn    closeReason = "room"              // idle, evicted for a new connection
 	closedOnAcceptError closeReason = "shortage"          // idle, evicted after a failed accept, most likely for lack of descriptors
@@ -24,5 +25,9 @@
 // or is past its close deadline in a drain is closed.
 func (r closeReason) waitsForIncomplete() bool { return r == closedWhenDraining }
 
+// needsDescriptor reports whether a connection is closed for this reason to free its descriptor, and so cannot linger until the
+// client's kernel has acknowledged the last answer.
+func (r closeReason) needsDescriptor() bool { return r == closedForNewConn || r == closedOnAcceptError }
+
 // count increments the metric of closed client connections for this reason.
 func (r closeReason) count() { metrics.ClientConnsClosed.Add(string(r)) }
--- a/internal/frontend/resp/conn.go
+++ b/internal/frontend/resp/conn.go
@@ -34,7 +34,7 @@
 	requests     map[uint64]*inFlightRequest // the requests in flight, by tag
 	unwritten    int                         // number of answers queued but not written yet
 	closed       bool
-	lastActivity time.Time // when the last CALL, the last CANCEL of a request in flight or the last write of answers happened
+	lastActivity time.Time // when the client last sent a CALL or cancelled a request in flight, or answers were last written or taken
 	lastRequest  time.Time // when the last CALL arrived; zero before the first
 }
 
@@ -139,6 +139,15 @@
 	return c.lastActivity, c.idleLocked()
 }
 
+// recordActivity records that the client was active at a time, unless it was active later.
+func (c *clientConn) recordActivity(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at.After(c.lastActivity) {
+		c.lastActivity = at
+	}
+}
+
 // idleLocked reports whether the connection has neither a request in flight nor an unwritten answer. The caller holds c.mu.
 func (c *clientConn) idleLocked() bool {
 	return c.pendingAnswersLocked().Check() == permit.Allowed
@@ -165,8 +174,8 @@
 	}
 }
 
-// closeIfIdle closes the connection if it has no unhandled request, no request in flight, no unwritten answer and no unread
-// data, and reports whether it did. An incomplete request also prevents the close if reason.waitsForIncomplete.
+// closeIfIdle closes the connection if it has no unhandled request, no request in flight, no unwritten or undelivered answer and
+// no unread data, and reports whether it did. An incomplete request also prevents the close if reason.waitsForIncomplete.
 func (c *clientConn) closeIfIdle(reason closeReason) (closed bool) {
 	c.mu.Lock()
 	if c.closed || !c.netConn.stopReadingIfIdle(reason, c.pendingAnswersLocked()) {
@@ -176,7 +185,7 @@
 	c.closeLocked() // returns no handles: an idle connection has no requests in flight
 	c.mu.Unlock()
 	reason.count()
-	c.netConn.Close()
+	c.netConn.closeOnceDelivered()
 	return true
 }
 
--- a/internal/frontend/resp/server.go
+++ b/internal/frontend/resp/server.go
@@ -137,13 +137,19 @@
 		timer.Stop()
 		now := time.Now()
 		s.closeTimedOut(now)
+		s.closeLingering(now)
 		s.sweepDraining(now)
 	}
 }
 
 func (s *Server) closeTimedOut(now time.Time) {
 	for _, conn := range s.timedOut(now) {
-		conn.closeIfIdle(closedTimedOut)
+		switch {
+		case conn.isTakingAnswers(now):
+		case conn.closeIfIdle(closedTimedOut):
+		case conn.undelivered(closedTimedOut):
+			conn.forceClose(closedStalled)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/frontend/resp/slowreader_test.go
@@ -0,0 +1,131 @@
+package resp_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"kitefall/internal/drain"
+	"kitefall/internal/fakes"
+	"kitefall/internal/frontend/resp"
+	"kitefall/internal/metrics"
+)
+
+// slowReadBuffer is the size of the receive buffer of a client that reads slowly, in bytes.
+const slowReadBuffer = 4 << 10
+
+// longBody is the body of an answer that is much larger than slowReadBuffer. The kernel of the dispatcher's machine takes it
+// whole, but most of it cannot be sent before the client reads.
+var longBody = strings.Repeat("x", 230_000)
+
+// connectSlowReader connects a client with a receive buffer of slowReadBuffer.
+func connectSlowReader(t *testing.T, addr string) *client {
+	t.Helper()
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		controlErr := raw.Control(func(descriptor uintptr) {
+			err = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, slowReadBuffer)
+		})
+		return errors.Join(err, controlErr)
+	}}
+	conn, err := dialer.DialContext(context.Background(), "tcp", addr)
+	require.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	require.NoError(t, conn.SetDeadline(fakes.Deadline()))
+	return &client{Conn: conn, t: t, reader: bufio.NewReaderSize(conn, len(longBody)+slowReadBuffer)}
+}
+
+// startWithLongAnswer starts a server with one slow reader, whose first request has been answered with longBody. Nothing of the
+// answer has been read, and all of it is in the kernel.
+func startWithLongAnswer(t *testing.T, maxConns int, timeouts resp.Timeouts,
+	evacuation drain.Schedule) (server *resp.Server, connect func() *client, slow *client) {
+	t.Helper()
+	w := fakes.NewWorker(t)
+	server, connect = startServerWithDrain(t, maxConns, timeouts, evacuation, w)
+	first := connect()
+	addr := first.RemoteAddr().String()
+	first.Close()
+	require.Eventually(t, func() bool { return server.OpenConns() == 0 }, 10*time.Second, time.Millisecond)
+	slow = connectSlowReader(t, addr)
+	slow.sendCall(1, "reserva", "book")
+	w.NextCall().AnswerOK(longBody)
+	require.Eventually(t, func() bool { return server.IdleConns() == 1 }, 10*time.Second, time.Millisecond)
+	return server, connect, slow
+}
+
+// sendLate sends a further request, which the client may do as long as it has not read the end of the stream. The connection may
+// have ended.
+func (c *client) sendLate() { io.WriteString(c, encodeCommand("CHECK", "2", "")) }
+
+// requireLongAnswer reads the answer to the first request.
+func (c *client) requireLongAnswer() {
+	c.t.Helper()
+	require.Equal(c.t, "1 ok  "+longBody, c.receive())
+}
+
+// A connection must not be closed while its client is still reading an answer: the kernel would reset the connection at the
+// client's next request and drop the rest of the answer (review case 2). Each subtest closes idle connections in another way.
+func TestAnswerIsDeliveredBeforeClose(t *testing.T) {
+	for name, close := range map[string]func(*resp.Server, func() *client){
+		"evacuation":  func(s *resp.Server, _ func() *client) { s.DrainState.Evacuate(time.Now()) },
+		"termination": func(s *resp.Server, _ func() *client) { s.DrainState.Terminate(time.Now()) },
+		"eviction": func(_ *resp.Server, connect func() *client) {
+			_, err := connect().reader.ReadByte()
+			assert.ErrorIs(t, err, io.EOF, "the new connection must be rejected, as the only other one is in use")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, connect, slow := startWithLongAnswer(t, 1, resp.DefaultTimeouts, closeIdleOnly)
+			close(server, connect)
+			time.Sleep(3 * resp.DrainSweepInterval)
+			slow.sendLate()
+			slow.requireLongAnswer()
+		})
+	}
+}
+
+// A connection on which nothing is in use any more is closed once its client has taken the answer, and not before.
+func TestDrainClosesConnectionOnceAnswerIsDelivered(t *testing.T) {
+	server, _, slow := startWithLongAnswer(t, 1, resp.DefaultTimeouts, closeIdleOnly)
+	evacuate(server)
+	time.Sleep(3 * resp.DrainSweepInterval)
+	require.Equal(t, 1, server.OpenConns())
+	slow.requireLongAnswer()
+	slow.requireClosed()
+	require.Eventually(t, func() bool { return server.OpenConns() == 0 }, 10*time.Second, time.Millisecond)
+}
+
+// The idle timeout does not cut off an answer that the client takes longer to read than the timeout.
+func TestIdleTimeoutWaitsForSlowReader(t *testing.T) {
+	timeouts := resp.DefaultTimeouts
+	timeouts.FirstRequest, timeouts.Idle = 100*time.Millisecond, 200*time.Millisecond
+	_, _, slow := startWithLongAnswer(t, 1, timeouts, closeIdleOnly)
+	for begin := time.Now(); time.Since(begin) < 3*timeouts.Idle; {
+		time.Sleep(timeouts.Idle / 8)
+		_, err := slow.reader.Peek(slow.reader.Buffered() + 1024)
+		require.NoError(t, err)
+	}
+	slow.sendLate()
+	slow.requireLongAnswer()
+	assert.Equal(t, "2 yes  ", slow.receive())
+}
+
+// A client that takes nothing of an answer is disconnected by the idle timeout, so that it does not hold a descriptor for ever.
+func TestIdleTimeoutClosesStalledConnection(t *testing.T) {
+	timeouts := resp.DefaultTimeouts
+	timeouts.FirstRequest, timeouts.Idle = 20*time.Millisecond, 50*time.Millisecond
+	stalled := metrics.ClientConnsClosed.Get("stalled")
+	server, _, _ := startWithLongAnswer(t, 1, timeouts, closeIdleOnly)
+	require.Eventually(t, func() bool { return server.OpenConns() == 0 }, 10*time.Second, time.Millisecond)
+	assert.Equal(t, stalled+1, metrics.ClientConnsClosed.Get("stalled"))
+}
--- a/internal/frontend/resp/trackedconn.go
+++ b/internal/frontend/resp/trackedconn.go
@@ -26,9 +26,14 @@
 	// goroutine uses it.
 	pastCloseDeadline bool
 
-	client  *clientConn // nil before the first request; guarded by server.mu
-	closed  bool        // guarded by server.mu
-	closing sync.Once
+	// acknowledged is the number of bytes that the client's kernel had acknowledged when lastTaken last looked. Only the sweeping
+	// goroutine uses it.
+	acknowledged uint64
+
+	client         *clientConn // nil before the first request; guarded by server.mu
+	closed         bool        // guarded by server.mu
+	lingeringSince time.Time   // when closeOnceDelivered has ended the stream to the client; guarded by server.mu
+	closing        sync.Once
 }
 
 // track registers an accepted connection with the server.
@@ -84,16 +89,17 @@
 	return !t.closed
 }
 
-// stopReadingIfIdle stops reading if the connection has no unread data, no unhandled request and no pending answer, and reports
-// whether it did. If reason.waitsForIncomplete, it does not stop reading within an incomplete request either. If reading has
-// stopped, the caller closes the connection: a request that arrives in between stays unread, so that the kernel resets the
-// connection and the client knows that the request had no effect.
+// stopReadingIfIdle stops reading if the connection has no unread data, no unhandled request and no pending or undelivered answer,
+// and reports whether it did. If reason.waitsForIncomplete, it does not stop reading within an incomplete request either. If
+// reading has stopped, the caller closes the connection: a request that arrives in between stays unread, so that the kernel resets
+// the connection and the client knows that the request had no effect.
 func (t *trackedConn) stopReadingIfIdle(reason closeReason, pendingAnswers permit.ConnectionUse) bool {
 	return t.StopReadingIf(func(unread bool) bool {
 		use := pendingAnswers
 		use.Unhandled = int(t.unhandled.Load())
 		use.Incomplete = t.incompleteSince.Load() != 0 && reason.waitsForIncomplete()
 		use.Unread = unread
+		use.Undelivered = t.undelivered(reason)
 		return use.Check() == permit.Allowed
 	})
 }
@@ -121,10 +127,10 @@
 func (t *trackedConn) forceClose(reason closeReason) {
 	if client := t.attachedClient(); client != nil {
 		client.close(reason)
-		return
+	} else {
+		reason.count()
 	}
-	reason.count()
-	t.Close()
+	t.Close() // client.close has done it, unless the connection lingers
 }
 
 // attachedClient returns the connection's client, or nil before its first request.
--- a/internal/gatedconn/conn.go
+++ b/internal/gatedconn/conn.go
@@ -14,6 +14,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"kitefall/internal/tcpstate"
 )
 
 // Observer is called with all bytes that are read, in order. If it returns an error, Read returns that error instead of the
@@ -153,3 +155,22 @@
 	})
 	return unread > 0
 }
+
+// Delivery returns how far the written bytes have got. If the connection has no socket, or the kernel does not provide the state,
+// Delivery returns ok == false.
+func (c *Conn) Delivery() (delivery tcpstate.Delivery, ok bool) {
+	if c.raw == nil {
+		return tcpstate.Delivery{}, false
+	}
+	return tcpstate.ReadDelivery(c.raw)
+}
+
+// CloseWrite sends the end of the stream behind the written bytes, and leaves the receiving direction open. It fails if the
+// connection has no sending direction of its own, such as a net.Pipe.
+func (c *Conn) CloseWrite() error {
+	halfCloser, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return halfCloser.CloseWrite()
+}
--- a/internal/permit/attempt.go
+++ b/internal/permit/attempt.go
@@ -76,16 +76,17 @@
 // ConnectionUse holds the facts that decide whether a connection may be closed while its peer follows the
 // protocol.
 type ConnectionUse struct {
-	Open       int  // requests without an answer
-	Unwritten  int  // messages that are queued or being written
-	Unhandled  int  // requests that were read and not processed yet
-	Incomplete bool // only a part of a request was received
-	Unread     bool // the peer has sent data that was not read
+	Open        int  // requests without an answer
+	Unwritten   int  // messages that are queued or being written
+	Unhandled   int  // requests that were read and not processed yet
+	Incomplete  bool // only a part of a request was received
+	Unread      bool // the peer has sent data that was not read
+	Undelivered bool // messages were written that the close could keep from the peer
 }
 
 // Check returns Allowed, or the reason why the connection may not be closed.
 func (c ConnectionUse) Check() Reason {
-	if c.Open > 0 || c.Unwritten > 0 || c.Unhandled > 0 || c.Incomplete || c.Unread {
+	if c.Open > 0 || c.Unwritten > 0 || c.Unhandled > 0 || c.Incomplete || c.Unread || c.Undelivered {
 		return InUse
 	}
 	return Allowed
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -50,6 +50,7 @@
 	assert.Equal(t, InUse, ConnectionUse{Unhandled: 1}.Check())
 	assert.Equal(t, InUse, ConnectionUse{Incomplete: true}.Check())
 	assert.Equal(t, InUse, ConnectionUse{Unread: true}.Check())
+	assert.Equal(t, InUse, ConnectionUse{Undelivered: true}.Check())
 }
 
 func TestAfter(t *testing.T) {
--- a/internal/permit/reason.go
+++ b/internal/permit/reason.go
@@ -22,7 +22,7 @@
 	AttemptPending           // another attempt is pending, and the request may have only one at a time
 	AttemptsExhausted        // the request has had the maximum number of attempts
 	BudgetSpent              // the load budget has no order left at this time
-	InUse                    // the connection has open requests, or unwritten or unread data
+	InUse                    // the connection has open requests, or unwritten, undelivered or unread data
 )
 
 var reasonNames = [...]string{
