A repeat with respond-async is answered with 202 only once its call is on record

Callers saw: a device repeats a synchronous call under its Idempotency-Key with Prefer: respond-async and gets 202 with a Location. The dispatcher is killed, and the ticket is unknown (404): the call has no final answer, and nobody can tell whether it ran.

Cause: Submit returned the view of the synchronous call that held the key. That call is in memory alone until a reserva is about to be sent, or until its outcome is known.

Change: the call is stored as it stands (submitted) before the repeat is accepted, under the lock that orders its transitions. It was chosen over waiting for the outcome since 202 promises a short wait. After a restart such a call is taken up like any other: a consulta runs again, a reserva that was not sent runs once, one that was sent may have run. If it cannot be stored, the repeat gets that error (503) and the synchronous call goes on. A stored submission leaves out the run that a restart would lose.

--- a/internal/invocation/executor/executor.go
+++ b/internal/invocation/executor/executor.go
@@ -7,7 +7,8 @@
 // otherwise be lost:
 //
 //   - An invocation that is not idempotent is stored just before its first byte is written to a worker.
-//   - An invocation with an Idempotency-Key is stored before its outcome is returned to a client.
+//   - An invocation with an Idempotency-Key is stored before its outcome is returned to a client, and before a client is told
+//     that it is in progress.
 //   - An idempotent invocation without a key is never stored.
 package executor
 
--- a/internal/invocation/executor/foreground.go
+++ b/internal/invocation/executor/foreground.go
@@ -46,6 +46,11 @@
 func (fg *foregroundInvocation) view() View {
 	fg.mu.Lock()
 	defer fg.mu.Unlock()
+	return fg.viewLocked()
+}
+
+// viewLocked returns a snapshot of the invocation. The caller holds fg.mu.
+func (fg *foregroundInvocation) viewLocked() View {
 	return View{Invocation: new(*fg.invocation), Result: fg.result, Durable: fg.stored}
 }
 
@@ -104,19 +109,47 @@
 		return err
 	}
 	if effects.Has(invocation.EffectPersist) && isRetrievable(inv) {
-		existing, err := e.store.Create(inv, result, now)
-		if err != nil {
+		if err := e.createStored(fg, inv, result, now); err != nil {
 			return err
 		}
-		if existing != nil { // unexpected: the reservation keeps other requests from using the key
-			return errKeyTaken
-		}
-		fg.stored = true
 	}
 	fg.setInvocation(inv, result)
 	return nil
 }
 
+// createStored stores a foreground invocation for the first time, as inv, with its result if it was served. The caller holds
+// fg.mu.
+func (e *Executor) createStored(
+	fg *foregroundInvocation, inv *invocation.Invocation, result []byte, now time.Time,
+) error {
+	existing, err := e.store.Create(inv, result, now)
+	if err != nil {
+		return err
+	}
+	if existing != nil { // unexpected: the reservation keeps other requests from using the key
+		return errKeyTaken
+	}
+	fg.stored = true
+	return nil
+}
+
+// recordForeground stores a foreground invocation that has not completed, unless it is stored already, and returns it. A client
+// may be told of an incomplete invocation only once it is stored: otherwise a restart of the program loses it. recordForeground
+// fails with the errors of store.Create, and the invocation then goes on in memory.
+func (e *Executor) recordForeground(fg *foregroundInvocation) (View, error) {
+	fg.mu.Lock()
+	defer fg.mu.Unlock()
+	if fg.err != nil {
+		return View{}, fg.err
+	}
+	if !fg.stored && fg.invocation.State != invocation.StateCompleted {
+		if err := e.createStored(fg, fg.invocation, nil, e.clock.Now()); err != nil {
+			return View{}, err
+		}
+	}
+	return fg.viewLocked(), nil
+}
+
 // stepStored applies an input to a foreground invocation that is stored. The caller holds fg.mu.
 func (e *Executor) stepStored(fg *foregroundInvocation, input invocation.Input, result []byte, now time.Time) error {
 	inv, _, err := e.store.Apply(fg.id, input, result, now)
--- a/internal/invocation/executor/harness_test.go
+++ b/internal/invocation/executor/harness_test.go
@@ -63,6 +63,7 @@
 	config      schedule.Config
 	disk        *faultyDisk
 	createdAt   time.Time
+	quota       int64         // limit of stored invocations of a tenant; 0: none; takes effect at the next start
 	clockOffset time.Duration // by how much the wall clock was set forward since createdAt; negative: back
 }
 
@@ -101,6 +102,7 @@
 	s, err := store.Open(h.path, store.Options{
 		Retention:      3 * time.Hour,
 		MaxInvocations: 1 << 20,
+		MaxPerTenant:   h.quota,
 		Durable:        durable.Options{FS: h.disk, SegmentBytes: 256 << 10},
 	})
 	require.NoError(h.t, err)
--- /dev/null
+++ b/internal/invocation/executor/record_test.go
@@ -0,0 +1,114 @@
+package executor
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"kitefall/internal/fakes"
+	"kitefall/internal/invocation"
+)
+
+// invokeInBackground makes a foreground request. The returned channel gets its view, or a view without an invocation if the
+// request fails.
+func (h *harness) invokeInBackground(request invocation.Request) <-chan View {
+	outcome := make(chan View, 1)
+	go func() {
+		view, _ := h.executor.Invoke(context.Background(), request)
+		outcome <- view
+	}()
+	return outcome
+}
+
+// newKeyedRequest returns a request of tenant a with its body as Idempotency-Key.
+func (h *harness) newKeyedRequest(class, body string) invocation.Request {
+	request := h.newRequest(class, body)
+	request.IdempotencyKey = body
+	return request
+}
+
+// awaitReserved waits until a foreground request has reserved its key.
+func (h *harness) awaitReserved() {
+	h.t.Helper()
+	reserved := func() bool {
+		h.executor.foreground.mu.Lock()
+		defer h.executor.foreground.mu.Unlock()
+		return len(h.executor.foreground.byID) > 0
+	}
+	require.Eventually(h.t, reserved, 10*time.Second, time.Millisecond)
+}
+
+// A deferred repeat of a foreground request is accepted, and the program restarts before the outcome. An invocation whose
+// acceptance was reported must still be known and get its outcome, and a reserva must run once (review case 3).
+func TestAcceptedRepeatOfForegroundRequestOutlivesRestart(t *testing.T) {
+	for name, test := range map[string]struct {
+		class string
+		sent  bool // a worker has received the call before the repeat
+		want  invocation.Outcome
+	}{
+		"consulta, sent":     {consulta, true, invocation.OutcomeServed},
+		"consulta, not sent": {consulta, false, invocation.OutcomeServed},
+		"reserva, not sent":  {reserva, false, invocation.OutcomeServed},
+		"reserva, sent":      {reserva, true, invocation.OutcomeFailed}, // it may have run
+	} {
+		t.Run(name, func(t *testing.T) {
+			worker := fakes.NewWorker(t)
+			var reachable []*fakes.Worker
+			if test.sent {
+				reachable = append(reachable, worker)
+			}
+			h := newHarness(t, fakes.NewCore(t, reachable...))
+			h.invokeInBackground(h.newKeyedRequest(test.class, "slot"))
+			h.awaitReserved()
+			if test.sent {
+				worker.NextCall()
+			}
+			accepted, err := h.executor.Submit(h.newKeyedRequest(test.class, "slot"))
+			require.NoError(t, err)
+			require.True(t, accepted.Durable)
+
+			h.restart(fakes.NewCore(t, worker))
+			if test.want == invocation.OutcomeServed {
+				worker.NextCall().AnswerOK("done")
+			}
+			view := h.wait(accepted.ID)
+			assert.Equal(t, test.want, view.Outcome, "%v", view.History)
+			if test.class == reserva {
+				assert.Equal(t, 1, worker.CallCount("slot"))
+			}
+		})
+	}
+}
+
+// A deferred repeat of a foreground request that cannot be stored must be refused. The foreground request goes on.
+func TestRepeatThatCannotBeStoredIsRefused(t *testing.T) {
+	worker := fakes.NewWorker(t)
+	h := newHarness(t, fakes.NewCore(t, worker))
+	outcome := h.invokeInBackground(h.newKeyedRequest(consulta, "slots"))
+	received := worker.NextCall()
+	h.disk.full.Store(true)
+	_, err := h.executor.Submit(h.newKeyedRequest(consulta, "slots"))
+	require.ErrorIs(t, err, invocation.ErrStorage)
+	h.disk.full.Store(false)
+	received.AnswerOK("free")
+	assert.Equal(t, "free", string((<-outcome).Result))
+}
+
+// A foreground invocation that a deferred repeat has caused to be stored can be cancelled by its ID, before and after a worker
+// has received it.
+func TestRecordedForegroundInvocationCanBeCancelled(t *testing.T) {
+	for _, class := range []string{reserva, consulta} {
+		worker := fakes.NewWorker(t)
+		h := newHarness(t, fakes.NewCore(t, worker))
+		outcome := h.invokeInBackground(h.newKeyedRequest(class, "slot"))
+		worker.NextCall()
+		accepted, err := h.executor.Submit(h.newKeyedRequest(class, "slot"))
+		require.NoError(t, err)
+		assert.Equal(t, invocation.OutcomeCancelled, cancelAsOwner(h, accepted.ID).Outcome)
+		assert.Equal(t, invocation.OutcomeCancelled, (<-outcome).Outcome)
+		assert.True(t, h.wait(accepted.ID).MayHaveRun)
+	}
+}
--- a/internal/invocation/executor/submit.go
+++ b/internal/invocation/executor/submit.go
@@ -10,8 +10,8 @@
 )
 
 // Submit stores a request as a deferred invocation, which runs when the scheduler starts it. If the request's
-// Idempotency-Key already belongs to another invocation, Submit stores nothing and returns that invocation in its
-// current state. It fails with ErrNotFound for an unknown function, with ErrKeyReused, and with the errors of
+// Idempotency-Key already belongs to another invocation, Submit stores no invocation for it and returns that invocation in its
+// current state. A foreground invocation with the key is stored first, if it has not completed. It fails with ErrNotFound for an unknown function, with ErrKeyReused, and with the errors of
 // store.Create.
 func (e *Executor) Submit(request invocation.Request) (View, error) {
 	request.Deferred = true
@@ -24,7 +24,7 @@
 	case err != nil:
 		return View{}, err
 	case holder != nil && holder.foreground != nil:
-		return holder.foreground.view(), nil
+		return e.recordForeground(holder.foreground)
 	case holder != nil:
 		return e.Wait(cancelledContext, request.Tenant, holder.storedID)
 	}
--- a/internal/invocation/invocation.go
+++ b/internal/invocation/invocation.go
@@ -70,10 +70,12 @@
 	return inv
 }
 
-// Persisted returns the invocation in the form in which it is stored, with StateWaiting in place of StateSubmitted.
+// Persisted returns the invocation in the form in which it is stored: with StateWaiting in place of StateSubmitted, and without
+// the run that was submitted.
 func (inv Invocation) Persisted() Invocation {
 	if inv.State == StateSubmitted {
 		inv.State = StateWaiting
+		inv.Runs--
 	}
 	return inv
 }
--- a/internal/invocation/store/create.go
+++ b/internal/invocation/store/create.go
@@ -71,6 +71,9 @@
 		tx.Put(resultsBucket, []byte(inv.ID), result)
 	}
 	s.put(tx, inv, stateNew)
+	if inv.State == invocation.StateSubmitted {
+		tx.Put(submittedBucket, []byte(inv.ID), encodeTime(inv.CreatedAt)) // its one run was submitted at once
+	}
 	s.cache.put(inv)
 	return nil
 }
