Calls over a full quota are refused before they run, and their outcome is never dropped

Callers saw: with as many tickets as tenant_tickets allows, synchronous calls under new keys were answered with 202 and a ticket that was unknown at once. Consultas had been run and served, and their result was dropped; reservas had been refused without a run, and nobody told the device.

Cause: completeForeground took each error but ErrStorage as if the outcome were stored (ErrQuotaExceeded, ErrStoreFull, the key taken by a redrive, ErrKeyReused, a deleted ticket). The call stayed "submitted", and its view became a 202.

Change: the limits are checked before a call that will have to be stored is submitted; over them it is refused (503), as docs/operators/deferred.md says. If they are reached while it runs, the waiting clients get the result of a served call, which is idempotent then, or the error of one that did not run. The key taken meanwhile is ErrSuperseded, a typed error of its own.

--- a/internal/invocation/executor/foreground.go
+++ b/internal/invocation/executor/foreground.go
@@ -12,10 +12,6 @@
 	"kitefall/internal/invocation"
 )
 
-// errKeyTaken is returned if the store contains another invocation with the key that a foreground invocation has
-// reserved.
-var errKeyTaken = errors.New("the idempotency key belongs to another invocation")
-
 // foregroundInvocation is an invocation that is not deferred: a client waits for its outcome. It is held in memory only
 // until it has to be stored; some foreground invocations are never stored (see the package comment).
 type foregroundInvocation struct {
@@ -29,7 +25,7 @@
 	invocation *invocation.Invocation
 	stored     bool
 	result     []byte
-	err        error // set if the invocation was not served and its outcome could not be stored
+	err        error // set if the outcome could not be stored and there is no result to return in its place
 }
 
 func newForeground(inv *invocation.Invocation, reservation *keyReservation) *foregroundInvocation {
@@ -126,8 +122,8 @@
 	if err != nil {
 		return err
 	}
-	if existing != nil { // unexpected: the reservation keeps other requests from using the key
-		return errKeyTaken
+	if existing != nil { // the reservation keeps other requests from using the key, but not an operator's redrive
+		return invocation.ErrSuperseded
 	}
 	fg.stored = true
 	return nil
@@ -135,7 +131,7 @@
 
 // recordForeground stores a foreground invocation that has not completed, unless it is stored already, and returns it. A client
 // may be told of an incomplete invocation only once it is stored: otherwise a restart of the program loses it. recordForeground
-// fails with the errors of store.Create, and the invocation then goes on in memory.
+// fails with the errors of store.Create and with ErrSuperseded, and the invocation then goes on in memory.
 func (e *Executor) recordForeground(fg *foregroundInvocation) (View, error) {
 	fg.mu.Lock()
 	defer fg.mu.Unlock()
@@ -178,24 +174,17 @@
 }
 
 // completeForeground applies the dispatcher's answer to a foreground invocation. As in completeRun, an outcome that has to
-// be stored is not returned to clients before it is stored.
+// be stored is not returned to clients before it is stored, and a failure of the store is retried.
 func (e *Executor) completeForeground(fg *foregroundInvocation, answer call.Answer) {
 	input := inputFor(answer)
 	for {
 		failpoint.Hit("before-end")
 		err := e.stepForeground(fg, input, answer.Body)
-		if !errors.Is(err, invocation.ErrStorage) {
+		if err == nil || e.completeUnstored(fg, input, answer, err) {
 			failpoint.Hit("after-end")
 			e.releaseForeground(fg)
 			return
 		}
-		if !fg.isStored() && answer.Outcome != call.Served {
-			// Nothing is stored, and the function did not run or is idempotent: the client gets the error and may
-			// retry.
-			fg.fail(err)
-			e.releaseForeground(fg)
-			return
-		}
 		slog.Error("tickets: the answer is not stored yet", "ticket", fg.id, "tenant", fg.tenant, "err", err)
 		if !e.waitToRetryStore() {
 			return
@@ -203,6 +192,39 @@
 	}
 }
 
+// completeUnstored decides what the waiting clients get if the outcome of a foreground invocation could not be stored because of
+// err. It returns false if the store must be tried again.
+func (e *Executor) completeUnstored(
+	fg *foregroundInvocation, input invocation.Input, answer call.Answer, err error,
+) (completed bool) {
+	storeFailed := errors.Is(err, invocation.ErrStorage)
+	switch {
+	case errors.Is(err, invocation.ErrCompleted): // its owner has cancelled it
+		return true
+	case storeFailed && (fg.isStored() || answer.Outcome == call.Served):
+		return false
+	case answer.Outcome == call.Served && !fg.isStored():
+		// The limits have been reached since checkLimits. The function is idempotent, since any other is stored before it
+		// starts. Only a later request with the key does not find the result.
+		e.completeInMemory(fg, input, answer.Body)
+		return true
+	}
+	// The function did not run or is idempotent, so that a retry does no harm, or the invocation was deleted meanwhile.
+	fg.fail(err)
+	return true
+}
+
+// completeInMemory applies an input to a foreground invocation that is not stored, and does not store it.
+func (e *Executor) completeInMemory(fg *foregroundInvocation, input invocation.Input, result []byte) {
+	fg.mu.Lock()
+	defer fg.mu.Unlock()
+	inv := new(*fg.invocation)
+	if _, _, err := invocation.Step(inv, input, e.clock.Now()); err != nil { // its owner has cancelled it
+		return
+	}
+	fg.setInvocation(inv, result)
+}
+
 // cancelForeground cancels a foreground invocation for its owner. If the invocation has completed already, its outcome
 // does not change.
 func (e *Executor) cancelForeground(fg *foregroundInvocation) (View, error) {
--- a/internal/invocation/executor/invoke.go
+++ b/internal/invocation/executor/invoke.go
@@ -12,8 +12,8 @@
 
 // Invoke runs a request at once, as a foreground invocation. It returns the invocation once it has completed, or in its
 // current state when ctx is done. If the request's Idempotency-Key already belongs to another invocation, Invoke runs
-// nothing and waits for that invocation. It fails with ErrNotFound for an unknown function, with ErrKeyReused, and with
-// ErrStorage.
+// nothing and waits for that invocation. It fails with ErrNotFound for an unknown function, with ErrKeyReused, with ErrStorage,
+// and with ErrQuotaExceeded or ErrStoreFull if the invocation cannot be stored although it would have to be.
 func (e *Executor) Invoke(ctx context.Context, request invocation.Request) (View, error) {
 	request.Deferred = false
 	coreCall, err := e.catalog.Call(&request)
@@ -40,6 +40,10 @@
 		return e.Wait(ctx, request.Tenant, existing.ID)
 	}
 	inv := invocation.New(rand.Text(), request, now)
+	if err := e.checkLimits(inv); err != nil {
+		e.reservations.settleFailed(own, err)
+		return View{}, err
+	}
 	fg := newForeground(inv, own)
 	e.foreground.add(fg)
 	e.reservations.settleForeground(own, fg) // from here on, clients may learn its ID and look it up
@@ -47,6 +51,14 @@
 	return e.waitForeground(ctx, fg, inv.Ephemeral)
 }
 
+// checkLimits fails if an invocation that will have to be stored could not be stored now, so that it does not run first.
+func (e *Executor) checkLimits(inv *invocation.Invocation) error {
+	if inv.Ephemeral {
+		return nil
+	}
+	return e.store.CheckLimits(inv)
+}
+
 // submitForeground submits the call of a foreground invocation to the dispatcher. inv is the invocation as it was
 // accepted; fg.invocation may have changed since.
 func (e *Executor) submitForeground(fg *foregroundInvocation, inv *invocation.Invocation, coreCall *call.Call) {
--- a/internal/invocation/executor/record_test.go
+++ b/internal/invocation/executor/record_test.go
@@ -112,3 +112,75 @@
 		assert.True(t, h.wait(accepted.ID).MayHaveRun)
 	}
 }
+
+// newHarnessWithQuota returns a harness in which a tenant may have one stored invocation.
+func newHarnessWithQuota(t *testing.T, workers ...*fakes.Worker) *harness {
+	t.Helper()
+	h := newHarness(t, fakes.NewCore(t))
+	h.quota = 1
+	h.restart(fakes.NewCore(t, workers...))
+	return h
+}
+
+// fillQuota stores an invocation that does not run during the test.
+func (h *harness) fillQuota() {
+	h.t.Helper()
+	waiting := h.newRequest(consulta, "fills the quota")
+	waiting.NotBefore = h.executor.clock.Now().Add(30 * time.Second)
+	h.submit(waiting)
+}
+
+// Over the quota, requests that have to be stored must be refused before a worker runs them, and requests that need no storage are
+// served. A refused request must not be reported as accepted: no client could look it up (review case 3).
+func TestForegroundRequestOverQuotaIsRefusedBeforeItRuns(t *testing.T) {
+	worker := fakes.NewWorker(t)
+	h := newHarnessWithQuota(t, worker)
+	h.fillQuota()
+	for name, request := range map[string]invocation.Request{
+		"consulta with a key":   h.newKeyedRequest(consulta, "free slots"),
+		"reserva with a key":    h.newKeyedRequest(reserva, "slot"),
+		"reserva without a key": h.newRequest(reserva, "other slot"),
+	} {
+		for range 2 { // the key of a refused request is free
+			_, err := h.executor.Invoke(context.Background(), request)
+			assert.ErrorIs(t, err, invocation.ErrQuotaExceeded, name)
+		}
+		assert.Zero(t, worker.CallCount(string(request.Body)), name)
+	}
+	outcome := h.invokeInBackground(h.newRequest(consulta, "ephemeral"))
+	worker.NextCall().AnswerOK("free")
+	assert.Equal(t, "free", string((<-outcome).Result))
+}
+
+// The quota is reached while a foreground request runs, so that its outcome cannot be stored. The client that waits must get the
+// outcome all the same: the result of a served request, and the error of one that did not run.
+func TestOutcomeThatExceedsQuotaIsReturned(t *testing.T) {
+	worker := fakes.NewWorker(t)
+	h := newHarnessWithQuota(t, worker)
+	outcome := h.invokeInBackground(h.newKeyedRequest(consulta, "slots"))
+	received := worker.NextCall()
+	h.fillQuota()
+	received.AnswerOK("free")
+	view := <-outcome
+	require.NotNil(t, view.Invocation)
+	assert.Equal(t, invocation.OutcomeServed, view.Outcome)
+	assert.Equal(t, "free", string(view.Result))
+	assert.False(t, view.Durable)
+}
+
+// The quota is reached after a foreground reserva was accepted and before it is sent: it must not be sent, and its client must get
+// the error.
+func TestReservaThatCannotBeStoredBeforeItIsSentFails(t *testing.T) {
+	h := newHarnessWithQuota(t)
+	worker := fakes.NewWorker(t)
+	failed := make(chan error, 1)
+	go func() {
+		_, err := h.executor.Invoke(context.Background(), h.newKeyedRequest(reserva, "slot"))
+		failed <- err
+	}()
+	h.awaitReserved()
+	h.fillQuota()
+	h.core.UpdateEndpoints(fakes.Endpoints(worker))
+	assert.ErrorIs(t, fakes.Receive(t, failed), invocation.ErrQuotaExceeded)
+	assert.Zero(t, worker.CallCount("slot"))
+}
--- a/internal/invocation/store/usage.go
+++ b/internal/invocation/store/usage.go
@@ -50,11 +50,16 @@
 	putUsage(tx, allTenants, usageOf(tx, allTenants).plus(invocations, bytes))
 }
 
-// admit adds a new invocation to the usage. It fails with ErrStoreFull if the store holds MaxInvocations, and with
-// ErrQuotaExceeded if the invocation would exceed a limit of the tenant; nothing is added then.
-func (s *Store) admit(tx *durable.Tx, inv *invocation.Invocation) error {
-	total := usageOf(tx, allTenants)
-	if total.Invocations >= s.options.MaxInvocations {
+// CheckLimits reports whether a new invocation could be stored now. It fails with ErrStoreFull and ErrQuotaExceeded, as Create
+// does.
+func (s *Store) CheckLimits(inv *invocation.Invocation) error {
+	return storageError(s.db.View(func(tx *durable.Tx) error { return s.checkLimits(tx, inv) }))
+}
+
+// checkLimits fails with ErrStoreFull if the store holds MaxInvocations, and with ErrQuotaExceeded if a new invocation would
+// exceed a limit of its tenant.
+func (s *Store) checkLimits(tx *durable.Tx, inv *invocation.Invocation) error {
+	if usageOf(tx, allTenants).Invocations >= s.options.MaxInvocations {
 		return invocation.ErrStoreFull
 	}
 	tenant := usageOf(tx, inv.Tenant)
@@ -64,7 +69,14 @@
 	if tooMany || tooLarge {
 		return invocation.ErrQuotaExceeded
 	}
-	putUsage(tx, allTenants, total.plus(1, inv.Bytes))
-	putUsage(tx, inv.Tenant, tenant.plus(1, inv.Bytes))
+	return nil
+}
+
+// admit adds a new invocation to the usage. If checkLimits fails, admit returns its error and adds nothing.
+func (s *Store) admit(tx *durable.Tx, inv *invocation.Invocation) error {
+	if err := s.checkLimits(tx, inv); err != nil {
+		return err
+	}
+	addUsage(tx, inv.Tenant, 1, inv.Bytes)
 	return nil
 }
