An answer 202 can only be written for an invocation that is on record

Callers saw: a synchronous call whose outcome was not known 0.25 s after its deadline, for example because the disk did not take it, was answered with 202 and the ticket of a call that was in memory alone: unknown after a kill.

Cause: writeView wrote the pending document for each view without an outcome, whatever View.Durable said.

Change: the pending document takes an executor.Recorded, which only a view of a stored invocation yields; for any other the answer is 503 "storage", a retry does no harm. Invoke stores a call whose client's time is over before it returns it. A deferred repeat whose call has completed is answered at once, also with Prefer: wait.

--- a/internal/frontend/invoke/create.go
+++ b/internal/frontend/invoke/create.go
@@ -56,7 +56,7 @@
 		return err
 	}
 	w.Header().Set("Preference-Applied", preferAsync)
-	if wait > 0 {
+	if wait > 0 && view.State != invocation.StateCompleted {
 		return s.awaitAndWriteView(w, r, receivedAt.Add(wait), request.Tenant, view.ID)
 	}
 	return s.writeView(w, view)
--- a/internal/frontend/invoke/problem.go
+++ b/internal/frontend/invoke/problem.go
@@ -88,6 +88,12 @@
 		withRetryAfter(retryAfter)
 }
 
+// notRecorded is the problem of an invocation that could not be stored. It was not accepted, so a retry does no harm.
+func notRecorded() *problem {
+	return newProblem(http.StatusServiceUnavailable, "storage", "Calls cannot be put on record at present").
+		withRetryAfter(storageRetryAfter)
+}
+
 // write sends the problem as the response.
 func (p *problem) write(w http.ResponseWriter) {
 	header := w.Header()
@@ -112,13 +118,14 @@
 		return newProblem(http.StatusGone, "expired", "The ticket's answer is kept no longer")
 	case errors.Is(err, invocation.ErrKeyReused):
 		return newProblem(http.StatusUnprocessableEntity, "key-reused", "The Idempotency-Key belongs to another request")
+	case errors.Is(err, invocation.ErrSuperseded):
+		return rejected(0).withDetail("another call has taken the Idempotency-Key meanwhile: a repeat gets its answer")
 	case errors.Is(err, invocation.ErrStoreFull):
 		return rejected(quotaRetryAfter).withDetail("too many tickets are kept")
 	case errors.Is(err, invocation.ErrQuotaExceeded):
 		return rejected(quotaRetryAfter).withDetail("this tenant has too many tickets, or too large ones")
-	default: // The store failed. An invocation that could not be stored was not accepted, so a retry does no harm.
-		return newProblem(http.StatusServiceUnavailable, "storage", "Calls cannot be put on record at present").
-			withRetryAfter(storageRetryAfter)
+	default: // The store failed.
+		return notRecorded()
 	}
 }
 
--- a/internal/frontend/invoke/reply.go
+++ b/internal/frontend/invoke/reply.go
@@ -21,27 +21,33 @@
 	InvocationID string                    `json:"ticket"`
 }
 
-// writeView responds with the outcome of an invocation, or with a pending document if it has none yet.
+// writeView responds with the outcome of an invocation, or with a pending document if it has none yet. If the invocation has no
+// outcome and is not stored, writeView returns the problem to respond with: a client could not look it up after a restart.
 func (s *Server) writeView(w http.ResponseWriter, view executor.View) error {
 	if view.State == invocation.StateCompleted {
 		return s.writeOutcome(w, view)
 	}
-	writePending(w, view)
+	recorded, ok := view.Recorded()
+	if !ok {
+		return notRecorded()
+	}
+	writePending(w, recorded)
 	return nil
 }
 
-func writePending(w http.ResponseWriter, view executor.View) {
+func writePending(w http.ResponseWriter, recorded executor.Recorded) {
+	inv := recorded.Invocation()
 	header := w.Header()
-	header.Set("Location", invocationPath(view.ID))
+	header.Set("Location", invocationPath(inv.ID))
 	header.Set("Retry-After", pollInterval)
 	header.Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusAccepted)
 	json.NewEncoder(w).Encode(pendingDocument{
-		Deadline:     view.Expires,
-		History:      view.History,
-		Runs:         view.Runs,
+		Deadline:     inv.Expires,
+		History:      inv.History,
+		Runs:         inv.Runs,
 		Status:       "pending",
-		InvocationID: view.ID,
+		InvocationID: inv.ID,
 	})
 }
 
--- a/internal/invocation/executor/executor.go
+++ b/internal/invocation/executor/executor.go
@@ -57,6 +57,15 @@
 	Durable bool // the invocation is stored, so clients can look it up by its ID
 }
 
+// Recorded is an invocation that is stored. A client may be told to look it up by its ID. Only View.Recorded returns one.
+type Recorded struct{ inv *invocation.Invocation }
+
+// Invocation returns the invocation as it was in the view.
+func (r Recorded) Invocation() *invocation.Invocation { return r.inv }
+
+// Recorded returns the invocation if it is stored.
+func (v View) Recorded() (Recorded, bool) { return Recorded{v.Invocation}, v.Durable }
+
 // Executor accepts requests and keeps their outcomes. It is safe for concurrent use. Its zero value is not usable; use
 // New.
 type Executor struct {
--- a/internal/invocation/executor/invoke.go
+++ b/internal/invocation/executor/invoke.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	mathrand "math/rand/v2"
 
 	"kitefall/internal/call"
@@ -26,7 +27,7 @@
 	case err != nil:
 		return View{}, err
 	case holder != nil && holder.foreground != nil:
-		return holder.foreground.wait(ctx)
+		return e.waitRecorded(ctx, holder.foreground)
 	case holder != nil:
 		return e.Wait(ctx, request.Tenant, holder.storedID)
 	}
@@ -88,10 +89,23 @@
 // waitForeground waits until a foreground invocation has completed or ctx is done. An ephemeral invocation is cancelled
 // when ctx is done, since no client can look it up later.
 func (e *Executor) waitForeground(ctx context.Context, fg *foregroundInvocation, ephemeral bool) (View, error) {
+	if !ephemeral {
+		return e.waitRecorded(ctx, fg)
+	}
 	view, err := fg.wait(ctx)
 	incomplete := view.Invocation != nil && view.State != invocation.StateCompleted
-	if ephemeral && incomplete && ctx.Err() != nil {
+	if incomplete && ctx.Err() != nil {
 		return e.cancelForeground(fg)
 	}
 	return view, err
 }
+
+// waitRecorded waits until a foreground invocation has completed or ctx is done. An invocation that has not completed by the
+// deadline of ctx is stored, since its client is then told where to look it up.
+func (e *Executor) waitRecorded(ctx context.Context, fg *foregroundInvocation) (View, error) {
+	view, err := fg.wait(ctx)
+	if err == nil && view.State != invocation.StateCompleted && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return e.recordForeground(fg)
+	}
+	return view, err
+}
--- a/internal/invocation/executor/record_test.go
+++ b/internal/invocation/executor/record_test.go
@@ -184,3 +184,20 @@
 	assert.ErrorIs(t, fakes.Receive(t, failed), invocation.ErrQuotaExceeded)
 	assert.Zero(t, worker.CallCount("slot"))
 }
+
+// A foreground request has not completed when its client is answered, for example because its outcome waits for the disk. Its
+// invocation must be stored then, since the client is told where to look it up.
+func TestForegroundInvocationIsStoredAtTheDeadlineOfItsClient(t *testing.T) {
+	worker := fakes.NewWorker(t)
+	h := newHarness(t, fakes.NewCore(t, worker))
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	view, err := h.executor.Invoke(ctx, h.newKeyedRequest(consulta, "slots"))
+	require.NoError(t, err)
+	assert.NotEqual(t, invocation.StateCompleted, view.State)
+	require.True(t, view.Durable)
+	h.restart(fakes.NewCore(t, worker))
+	worker.NextCall() // of the first run
+	worker.NextCall().AnswerOK("free")
+	assert.Equal(t, "free", string(h.wait(view.ID).Result))
+}
