An outcome that the disk did not take is no longer shown before it is stored

Callers saw: the answer to a synchronous reserva, polled while the disk does not take it, was 200 with an empty body; after a kill the same ticket says that the call may have run.

Cause: Store.Apply returned the changed invocation together with ErrStorage, and stepStored kept it as the state of the call.

Change: with ErrStorage, Apply returns no invocation.

--- a/internal/invocation/executor/harness_test.go
+++ b/internal/invocation/executor/harness_test.go
@@ -183,7 +183,8 @@
 // faultyDisk is a disk on which writes to files fail with errDiskFull while full is set.
 type faultyDisk struct {
 	wal.OSFileSystem
-	full atomic.Bool
+	full     atomic.Bool
+	failures atomic.Int64 // writes that have failed
 }
 
 var errDiskFull = errors.New("no space left on device")
@@ -205,6 +206,7 @@
 
 func (f faultyFile) WriteAt(data []byte, offset int64) (int, error) {
 	if f.disk.full.Load() {
+		f.disk.failures.Add(1)
 		return 0, errDiskFull
 	}
 	return f.File.WriteAt(data, offset)
--- a/internal/invocation/executor/record_test.go
+++ b/internal/invocation/executor/record_test.go
@@ -201,3 +201,24 @@
 	worker.NextCall().AnswerOK("free")
 	assert.Equal(t, "free", string(h.wait(view.ID).Result))
 }
+
+// The outcome of a stored foreground invocation cannot be stored at first. Until it is, a client must get neither the outcome nor
+// an outcome without its result: after a kill, another outcome would follow.
+func TestOutcomeThatIsNotStoredYetIsNotReturned(t *testing.T) {
+	worker := fakes.NewWorker(t)
+	h := newHarness(t, fakes.NewCore(t, worker))
+	outcome := h.invokeInBackground(h.newKeyedRequest(reserva, "slot"))
+	received := worker.NextCall()
+	accepted, err := h.executor.Submit(h.newKeyedRequest(reserva, "slot"))
+	require.NoError(t, err)
+	h.disk.full.Store(true)
+	received.AnswerOK("booked")
+	require.Eventually(t, func() bool { return h.disk.failures.Load() > 0 }, 10*time.Second, time.Millisecond)
+	for range 100 {
+		require.Equal(t, invocation.StateRunning, h.current(accepted.ID).State)
+		time.Sleep(time.Millisecond)
+	}
+	h.disk.full.Store(false)
+	assert.Equal(t, "booked", string((<-outcome).Result))
+	assert.Equal(t, "booked", string(h.wait(accepted.ID).Result))
+}
--- a/internal/invocation/store/apply.go
+++ b/internal/invocation/store/apply.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"errors"
 	"time"
 
 	"kitefall/internal/durable"
@@ -12,8 +13,7 @@
 
 // Apply applies an input to an invocation, stores the new state and the result if the effects include EffectPersist,
 // and returns the invocation after the change. On an error nothing has changed in the store. With an error of
-// invocation.Step, such as ErrCompleted, the returned invocation is unchanged; with any other error it is nil or holds
-// a change that was not stored.
+// invocation.Step, such as ErrCompleted, the returned invocation is unchanged; with ErrStorage it is nil.
 func (s *Store) Apply(
 	id string, input invocation.Input, result []byte, now time.Time,
 ) (inv *invocation.Invocation, effects invocation.Effects, err error) {
@@ -21,7 +21,11 @@
 		inv, effects, err = s.apply(tx, id, input, result, now)
 		return err
 	})
-	return inv, effects, storageError(err)
+	err = storageError(err)
+	if errors.Is(err, invocation.ErrStorage) { // inv may hold a change that was not stored
+		return nil, 0, err
+	}
+	return inv, effects, err
 }
 
 func (s *Store) apply(
