An evacuation no longer cuts off answers that clients are reading at its end

Callers saw: 3.7 s after the operators' call, connections were closed with whatever their clients had not read yet.

The operations page does not count "the time this takes" (Less room), and no SIGKILL follows.

Change: after CloseBy of an evacuation package drain says Finish: no further request is read, those in flight are failed, the answers are written, the end of the stream follows, and the socket is closed once all is acknowledged. A client that has taken nothing for a second is disconnected; after SIGTERM the bound stays as it was, since SIGKILL follows. Each close that cuts off an answer is counted (answers_cut, by reason) and logged.

The test of the schedules asked for Close at the end of an evacuation, during SIGTERM too: it asks for Finish there now, and for Close at the end of the termination.

--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -59,6 +59,9 @@
 	} {
 		assert.Equal(t, test.want, s.ActionFor(test.elapsed, ConnTimes{test.accepted, test.lastRequest}), "%+v", test)
 	}
+	s.AwaitDelivery = true
+	assert.Equal(t, AnswerAndClose, s.ActionFor(3*time.Second-1, ConnTimes{0, 1500 * ms}))
+	assert.Equal(t, Finish, s.ActionFor(3*time.Second, ConnTimes{0, 1500 * ms}), "the time that clients take to read is not counted")
 	assert.Equal(t, Close, Termination(time.Second).ActionFor(time.Hour, ConnTimes{-time.Hour, -time.Hour}), "no connection is exempt")
 }
 
@@ -69,7 +72,9 @@
 	s.Evacuate(start)
 	s.Terminate(start.Add(3 * time.Second))
 	closeBy := start.Add(Evacuation().CloseBy)
-	assert.Equal(t, Close, s.ActionFor(closeBy, start, closeBy))
+	assert.Equal(t, Finish, s.ActionFor(closeBy, start, closeBy))
+	terminateBy := start.Add(3*time.Second + Termination(3*time.Second).CloseBy)
+	assert.Equal(t, Close, s.ActionFor(terminateBy, start, terminateBy), "SIGKILL follows, whatever clients are reading")
 	assert.Equal(t, CloseIfIdle, s.ActionFor(closeBy, start, start), "exempt from CloseBy of the evacuation")
 	assert.False(t, s.Admits(closeBy, closeBy.Add(ms)))
 }
--- a/internal/drain/schedule.go
+++ b/internal/drain/schedule.go
@@ -23,6 +23,8 @@
 	// CloseBy is when all connections that are not exempt are closed. A connection that is accepted later is
 	// closed CloseBy - AnswerBy after it was accepted.
 	CloseBy time.Duration
+	// AwaitDelivery keeps connections open after CloseBy while their clients are taking answers.
+	AwaitDelivery bool
 }
 
 // Limits from the client protocol and the operations page.
@@ -57,13 +59,15 @@
 	return Schedule{AcceptAllFor: acceptAllFor, AnswerBy: kill - answerMargin, CloseBy: kill - closeMargin}
 }
 
-// Evacuation returns the schedule that starts when operators request an evacuation.
+// Evacuation returns the schedule that starts when operators request an evacuation. The time that clients take to
+// read their answers is not counted by the operations page, and no SIGKILL follows.
 func Evacuation() Schedule {
 	return Schedule{
 		AcceptAllFor:      acceptAllFor,
 		AnswerBy:          evacuationLimit - evacuateAnswerMargin,
 		ExemptIfIdleSince: evacuationLimit - recentRequest - recentRequestMargin,
 		CloseBy:           evacuationLimit - evacuateCloseMargin,
+		AwaitDelivery:     true,
 	}
 }
 
@@ -82,6 +86,7 @@
 	Keep           Action = iota // leave the connection open
 	CloseIfIdle                  // close the connection if nothing is in use on it
 	AnswerAndClose               // fail the requests in flight on the connection at once, then close it
+	Finish                       // read no more requests, and close the connection once the client has taken the answers
 	Close                        // close the connection even if it is in use
 )
 
@@ -103,6 +108,8 @@
 		return CloseIfIdle
 	case elapsed < closeBy:
 		return AnswerAndClose
+	case s.AwaitDelivery:
+		return Finish
 	default:
 		return Close
 	}
--- a/internal/frontend/resp/conn.go
+++ b/internal/frontend/resp/conn.go
@@ -34,6 +34,7 @@
 	requests     map[uint64]*inFlightRequest // the requests in flight, by tag
 	unwritten    int                         // number of answers queued but not written yet
 	closed       bool
+	finishing    bool      // closed by finish; set before done is closed
 	lastActivity time.Time // when the client last sent a CALL or cancelled a request in flight, or answers were last written or taken
 	lastRequest  time.Time // when the last CALL arrived; zero before the first
 }
--- a/internal/frontend/resp/connwriter.go
+++ b/internal/frontend/resp/connwriter.go
@@ -19,30 +19,47 @@
 }
 
 // writeAnswers writes queued answers until the connection is closed. It writes all answers that are queued at the same time
-// in one flush.
+// in one flush. If finish has closed the connection, it writes the answers that are still queued and ends the stream to the client.
 func (c *clientConn) writeAnswers() {
-	buffered := 0
 	for {
 		select {
 		case a := <-c.answers:
-			a.encode(c.respConn)
-			buffered++
-			if len(c.answers) == 0 {
-				c.flush(buffered, a.writeDeadline)
-				buffered = 0
-			}
+			c.writeQueued(a)
 		case <-c.done:
+			if c.finishing {
+				c.writeLast()
+			}
 			return
 		}
 	}
 }
 
+// writeQueued writes an answer and those that are queued behind it.
+func (c *clientConn) writeQueued(a answer) {
+	a.encode(c.respConn)
+	buffered := 1
+	for len(c.answers) > 0 {
+		a = <-c.answers
+		a.encode(c.respConn)
+		buffered++
+	}
+	c.flush(buffered, a.writeDeadline)
+}
+
+// writeLast writes the answers that are still queued and then closes the connection once they are delivered.
+func (c *clientConn) writeLast() {
+	if len(c.answers) > 0 {
+		c.writeQueued(<-c.answers)
+	}
+	c.netConn.closeOnceDelivered()
+}
+
 // flush writes the buffered answers to the network, and closes the connection if the write fails or is incomplete at
 // the deadline. buffered is the number of buffered answers.
 func (c *clientConn) flush(buffered int, deadline time.Time) {
 	c.netConn.SetWriteDeadline(deadline)
 	if c.respConn.Flush() != nil {
-		c.close(closedWriteFailed)
+		c.netConn.forceClose(closedWriteFailed)
 	}
 	c.mu.Lock()
 	c.unwritten -= buffered
--- a/internal/frontend/resp/delivery.go
+++ b/internal/frontend/resp/delivery.go
@@ -1,6 +1,10 @@
 package resp
 
-import "time"
+import (
+	"time"
+
+	"kitefall/internal/tcpstate"
+)
 
 // This file keeps the close of a connection from cutting off answers that its client is still reading. If bytes arrive at a closed
 // socket, the kernel resets the connection and drops what it has not sent yet, and a client sends requests until it has read the
@@ -27,13 +31,33 @@
 	t.lingeringSince = time.Now()
 }
 
-// closeLingering closes the lingering connections whose clients' kernels have acknowledged all answers, or have not done so within
-// Timeouts.Idle.
+// finish ends a connection that is in use: it reads no more requests, fails those in flight, and closes the connection once the
+// answers are delivered. It has no effect on a connection that is closed already, or while a request that was read has not been
+// handled.
+func (c *clientConn) finish(reason closeReason) {
+	handled := func(bool) bool { return c.netConn.unhandled.Load() == 0 }
+	if !c.netConn.StopReadingIf(handled) {
+		return
+	}
+	c.failRequestsInFlight()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.finishing = true
+	c.closeLocked() // returns no handles: no request is in flight
+	reason.count()
+}
+
+// closeLingering closes the lingering connections whose clients' kernels have acknowledged all answers, and those whose clients have
+// taken nothing for Timeouts.Idle.
 func (s *Server) closeLingering(now time.Time) {
 	for _, conn := range s.lingeringConns() {
-		delivery, _ := conn.Delivery()
-		if !delivery.Unacknowledged || now.Sub(conn.lingeringSince) > s.Timeouts.Idle {
+		if delivery, _ := conn.observeDelivery(now); !delivery.Unacknowledged {
 			conn.Close()
+		} else if now.Sub(conn.lastProgress) > s.Timeouts.Idle {
+			conn.forceClose(closedStalled)
 		}
 	}
 }
@@ -62,10 +86,20 @@
 	return now.Sub(taken) < t.server.Timeouts.Idle
 }
 
-// lastTaken returns when the client's kernel last took a part of the answers: now if it has taken something since the last call and
-// has more to take, and the zero time if that is not known or it has taken nothing since then.
+// observeDelivery reads the delivery state of the connection and records whether the client is taking its answers.
+func (t *trackedConn) observeDelivery(now time.Time) (delivery tcpstate.Delivery, ok bool) {
+	delivery, ok = t.Delivery()
+	if !delivery.Unacknowledged || delivery.Acknowledged != t.acknowledged {
+		t.lastProgress = now
+		t.acknowledged = delivery.Acknowledged
+	}
+	return delivery, ok
+}
+
+// lastTaken returns when the client's kernel last took a part of the answers, or the zero time if that is not known. While there is
+// more to take, that is when observeDelivery last saw a change.
 func (t *trackedConn) lastTaken(now time.Time) time.Time {
-	delivery, ok := t.Delivery()
+	delivery, ok := t.observeDelivery(now)
 	switch {
 	case !ok:
 		return time.Time{}
@@ -73,9 +107,6 @@
 		return time.Time{}
 	case !delivery.Unacknowledged:
 		return now.Add(-delivery.SinceLastAck)
-	case delivery.Acknowledged == t.acknowledged:
-		return time.Time{}
 	}
-	t.acknowledged = delivery.Acknowledged
-	return now
+	return t.lastProgress
 }
--- a/internal/frontend/resp/drain.go
+++ b/internal/frontend/resp/drain.go
@@ -17,6 +17,9 @@
 // drainSweepInterval is the time between two sweeps during a drain.
 const drainSweepInterval = 20 * time.Millisecond
 
+// stallTimeout is how long a client may take nothing of its answers after the close deadline of its connection.
+const stallTimeout = time.Second
+
 // violationClientHeld is the metrics label of connections that still had requests in flight when they were closed after their
 // close deadline.
 const violationClientHeld = "client_held"
@@ -52,6 +55,7 @@
 	if client != nil {
 		lastRequest, inFlight = client.requestActivity()
 	}
+	conn.observeDelivery(now)
 	switch s.DrainState.ActionFor(now, conn.acceptedAt, lastRequest) {
 	case drain.Keep:
 		conn.pastCloseDeadline = false // a sweep of an earlier drain, which a rejoin has ended, may have set it
@@ -62,11 +66,27 @@
 			client.failRequestsInFlight()
 		}
 		conn.closeIfIdle(closedWhenDraining)
+	case drain.Finish:
+		conn.finishPastDeadline(now, inFlight)
 	case drain.Close:
 		conn.closePastDeadline(inFlight)
 	}
 }
 
+// finishPastDeadline closes a connection whose close deadline has passed, like closePastDeadline, but has the client take its
+// answers first. A client that has taken nothing for stallTimeout is disconnected.
+func (t *trackedConn) finishPastDeadline(now time.Time, inFlight int) {
+	client := t.attachedClient()
+	switch {
+	case client == nil || !t.pastCloseDeadline:
+		t.closePastDeadline(inFlight)
+	case now.Sub(t.lastProgress) > stallTimeout:
+		t.forceClose(closedStalled)
+	default:
+		client.finish(closedDrainTimeout)
+	}
+}
+
 // closePastDeadline closes a connection whose close deadline has passed. If the connection is still in use, it fails the requests
 // in flight and closes the connection only in the next sweep, so that all requests that were read are answered first. It does not
 // wait for the rest of an incomplete request. inFlight is the number of requests in flight when this sweep began.
--- a/internal/frontend/resp/server.go
+++ b/internal/frontend/resp/server.go
@@ -73,6 +73,7 @@
 	acceptFailed  *logthrottle.Logger
 	protocolError *logthrottle.Logger
 	requestFailed *logthrottle.Logger
+	answersCut    *logthrottle.Logger
 }
 
 // Serve accepts connections on ln and serves them. Each open connection holds a descriptor of share. Serve returns after ln and
@@ -98,6 +99,7 @@
 		acceptFailed:  logthrottle.New(),
 		protocolError: logthrottle.New(),
 		requestFailed: logthrottle.New(),
+		answersCut:    logthrottle.New(),
 	}
 }
 
--- a/internal/frontend/resp/slowreader_test.go
+++ b/internal/frontend/resp/slowreader_test.go
@@ -105,16 +105,48 @@
 	require.Eventually(t, func() bool { return server.OpenConns() == 0 }, 10*time.Second, time.Millisecond)
 }
 
+// readSlowly reads the long answer in pieces of 1 KiB until the time is over.
+func (c *client) readSlowly(duration time.Duration) {
+	c.t.Helper()
+	for begin := time.Now(); time.Since(begin) < duration; {
+		time.Sleep(20 * time.Millisecond)
+		_, err := c.reader.Peek(c.reader.Buffered() + 1024)
+		require.NoError(c.t, err)
+	}
+}
+
+// At CloseBy of an evacuation, a client that is still reading an answer gets the rest of it, and then the end of the stream. Its
+// further requests are not read. The time that clients take to read does not count (operations page, "Less room").
+func TestEvacuationDeliversAnswersAfterCloseBy(t *testing.T) {
+	schedule := drain.Schedule{AnswerBy: 50 * time.Millisecond, CloseBy: 100 * time.Millisecond, AwaitDelivery: true}
+	server, _, slow := startWithLongAnswer(t, 1, resp.DefaultTimeouts, schedule)
+	evacuate(server)
+	slow.readSlowly(3 * schedule.CloseBy)
+	slow.sendLate()
+	slow.requireLongAnswer()
+	_, err := slow.reader.ReadByte()
+	require.Error(t, err, "the connection must end after the answer")
+	require.Eventually(t, func() bool { return server.OpenConns() == 0 }, 10*time.Second, time.Millisecond)
+}
+
+// A client that takes nothing of an answer is disconnected soon after CloseBy.
+func TestEvacuationClosesStalledConnection(t *testing.T) {
+	cut := metrics.AnswersCut.Get("stalled")
+	schedule := drain.Schedule{AnswerBy: 50 * time.Millisecond, CloseBy: 100 * time.Millisecond, AwaitDelivery: true}
+	server, _, _ := startWithLongAnswer(t, 1, resp.DefaultTimeouts, schedule)
+	evacuatedAt := time.Now()
+	evacuate(server)
+	require.Eventually(t, func() bool { return server.OpenConns() == 0 }, 10*time.Second, time.Millisecond)
+	assert.Less(t, time.Since(evacuatedAt), resp.DefaultTimeouts.Idle, "the close must not wait for the idle timeout")
+	assert.Equal(t, cut+1, metrics.AnswersCut.Get("stalled"))
+}
+
 // The idle timeout does not cut off an answer that the client takes longer to read than the timeout.
 func TestIdleTimeoutWaitsForSlowReader(t *testing.T) {
 	timeouts := resp.DefaultTimeouts
 	timeouts.FirstRequest, timeouts.Idle = 100*time.Millisecond, 200*time.Millisecond
 	_, _, slow := startWithLongAnswer(t, 1, timeouts, closeIdleOnly)
-	for begin := time.Now(); time.Since(begin) < 3*timeouts.Idle; {
-		time.Sleep(timeouts.Idle / 8)
-		_, err := slow.reader.Peek(slow.reader.Buffered() + 1024)
-		require.NoError(t, err)
-	}
+	slow.readSlowly(3 * timeouts.Idle)
 	slow.sendLate()
 	slow.requireLongAnswer()
 	assert.Equal(t, "2 yes  ", slow.receive())
@@ -124,8 +156,8 @@
 func TestIdleTimeoutClosesStalledConnection(t *testing.T) {
 	timeouts := resp.DefaultTimeouts
 	timeouts.FirstRequest, timeouts.Idle = 20*time.Millisecond, 50*time.Millisecond
-	stalled := metrics.ClientConnsClosed.Get("stalled")
+	cut := metrics.AnswersCut.Get("stalled")
 	server, _, _ := startWithLongAnswer(t, 1, timeouts, closeIdleOnly)
 	require.Eventually(t, func() bool { return server.OpenConns() == 0 }, 10*time.Second, time.Millisecond)
-	assert.Equal(t, stalled+1, metrics.ClientConnsClosed.Get("stalled"))
+	assert.Equal(t, cut+1, metrics.AnswersCut.Get("stalled"))
 }
--- a/internal/frontend/resp/trackedconn.go
+++ b/internal/frontend/resp/trackedconn.go
@@ -1,12 +1,14 @@
 package resp
 
 import (
+	"log/slog"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"kitefall/internal/gatedconn"
+	"kitefall/internal/metrics"
 	"kitefall/internal/permit"
 )
 
@@ -26,9 +28,11 @@
 	// goroutine uses it.
 	pastCloseDeadline bool
 
-	// acknowledged is the number of bytes that the client's kernel had acknowledged when lastTaken last looked. Only the sweeping
-	// goroutine uses it.
+	// acknowledged is the number of bytes that the client's kernel had acknowledged when observeDelivery last looked, and
+	// lastProgress is when it last found that the client was taking its answers, or had taken all. Only the sweeping goroutine uses
+	// them.
 	acknowledged uint64
+	lastProgress time.Time
 
 	client         *clientConn // nil before the first request; guarded by server.mu
 	closed         bool        // guarded by server.mu
@@ -123,8 +127,13 @@
 	return closing
 }
 
-// forceClose closes the connection even if it is in use.
+// forceClose closes the connection even if it is in use. It counts and logs a close that may cut off answers.
 func (t *trackedConn) forceClose(reason closeReason) {
+	if delivery, _ := t.Delivery(); delivery.Unacknowledged {
+		metrics.AnswersCut.Add(string(reason))
+		t.server.logs.answersCut.Log(slog.LevelWarn, "frontend: connection closed before its client has taken all answers",
+			"addr", t.RemoteAddr().String(), "reason", string(reason))
+	}
 	if client := t.attachedClient(); client != nil {
 		client.close(reason)
 	} else {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -26,6 +26,8 @@
 	Answers = newCounter("answers")
 	// Attempts counts attempts that have ended, by status.
 	Attempts = newCounter("attempts")
+	// AnswersCut counts connections that were closed before their clients had taken all answers, by the reason of the close.
+	AnswersCut = newCounter("answers_cut")
 	// ClientConnsClosed counts closed connections of clients, by reason.
 	ClientConnsClosed = newCounter("client_conns_closed")
 	// ClockSteps counts steps of the wall clock, by direction.
