Slow readers get their answers after the deadlines too, as long as they take some of them

Callers saw: a client that reads slowly, with many answers on the way, is disconnected 1 s after the deadline of the answer that is being written, and loses that answer and all behind it, also those it would still wait for.

The write of an answer had a deadline, whether its client was reading or not, and the failed write closed the connection.

Change: a write goes in pieces of 16 KB, of which each may take Timeouts.Idle (5 s); answers have no write deadline any more. A client that takes nothing is disconnected after 5 s in place of up to 3.5 s.

--- a/internal/frontend/resp/conn.go
+++ b/internal/frontend/resp/conn.go
@@ -127,7 +127,7 @@
 func (c *clientConn) reply(tag uint64, word string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.enqueueLocked(newAnswer(tag, word, time.Now()))
+	c.enqueueLocked(newAnswer(tag, word))
 }
 
 func (c *clientConn) remoteAddr() string { return c.netConn.RemoteAddr().String() }
--- a/internal/frontend/resp/conncall.go
+++ b/internal/frontend/resp/conncall.go
@@ -58,7 +58,7 @@
 		return nil
 	}
 	parsed.Done = func(result call.Answer) {
-		c.complete(tag, request, newCallAnswer(tag, result, parsed.Deadline, c.server.Settings.SendRetryAfter))
+		c.complete(tag, request, newCallAnswer(tag, result, c.server.Settings.SendRetryAfter))
 	}
 	c.submit(request, parsed)
 	return nil
@@ -127,12 +127,11 @@
 // failRequestsInFlight answers all requests in flight as failed and cancels their calls. It is called when the time to answer
 // them is over.
 func (c *clientConn) failRequestsInFlight() {
-	now := time.Now()
 	var abandoned []*dispatch.Handle
 	c.mu.Lock()
 	for tag, request := range c.requests {
 		abandoned = append(abandoned, c.abandonLocked(tag, request)...)
-		c.enqueueLocked(newAnswer(tag, wordFailed, now))
+		c.enqueueLocked(newAnswer(tag, wordFailed))
 	}
 	c.mu.Unlock()
 	for _, handle := range abandoned {
--- a/internal/frontend/resp/connwriter.go
+++ b/internal/frontend/resp/connwriter.go
@@ -43,7 +43,7 @@
 		a.encode(c.respConn)
 		buffered++
 	}
-	c.flush(buffered, a.writeDeadline)
+	c.flush(buffered)
 }
 
 // writeLast writes the answers that are still queued and then closes the connection once they are delivered.
@@ -54,10 +54,9 @@
 	c.netConn.closeOnceDelivered()
 }
 
-// flush writes the buffered answers to the network, and closes the connection if the write fails or is incomplete at
-// the deadline. buffered is the number of buffered answers.
-func (c *clientConn) flush(buffered int, deadline time.Time) {
-	c.netConn.SetWriteDeadline(deadline)
+// flush writes the buffered answers to the network, and closes the connection if the write fails. buffered is the number of
+// buffered answers.
+func (c *clientConn) flush(buffered int) {
 	if c.respConn.Flush() != nil {
 		c.netConn.forceClose(closedWriteFailed)
 	}
--- a/internal/frontend/resp/delivery.go
+++ b/internal/frontend/resp/delivery.go
@@ -11,6 +11,23 @@
 // end of the stream. A connection therefore stays open until its answers are sent, and its socket until they are acknowledged: a
 // lingering close (RFC 9112, section 9.6). What the client's kernel has acknowledged can be read even after a reset.
 
+// writePieceSize is the number of bytes that a client must take within Timeouts.Idle, in each step of a write.
+const writePieceSize = 16 << 10
+
+// Write writes answers like net.Conn, for as long as the client takes them: it fails if a piece of writePieceSize takes longer than
+// Timeouts.Idle. How long the client waits for an answer does not limit the write: the time that it takes to read is not counted,
+// and a connection that is closed for one late answer loses all the others.
+func (t *trackedConn) Write(data []byte) (written int, err error) {
+	for written < len(data) && err == nil {
+		piece := data[written:min(written+writePieceSize, len(data))]
+		t.SetWriteDeadline(time.Now().Add(t.server.Timeouts.Idle))
+		var n int
+		n, err = t.Conn.Write(piece)
+		written += n
+	}
+	return written, err
+}
+
 // undelivered reports whether a close for the reason could keep answers from the client. An answer that was sent completely does
 // not prevent the close, if closeOnceDelivered can wait for the acknowledgement.
 func (t *trackedConn) undelivered(reason closeReason) bool {
--- a/internal/frontend/resp/reply.go
+++ b/internal/frontend/resp/reply.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"time"
 
 	"github.com/tidwall/redcon"
 
@@ -21,40 +20,33 @@
 // fieldRetryAfter is the field of a rejecting answer that holds the time after which the client may retry, in milliseconds.
 const fieldRetryAfter = "after"
 
-// writeGrace is how long after the deadline of a call its answer may still be written. For an answer to any other request it
-// runs from the creation of the answer.
-const writeGrace = time.Second
-
 // answer is an answer to a client's request. Source: client protocol.
 type answer struct {
-	tag           uint64 // of the request
-	word          string
-	fields        string
-	body          []byte
-	writeDeadline time.Time // the answer is of no use after this time
+	tag    uint64 // of the request
+	word   string
+	fields string
+	body   []byte
 }
 
 // newAnswer returns an answer with a word and neither fields nor a body.
-func newAnswer(tag uint64, word string, deadline time.Time) answer {
-	return answer{tag: tag, word: word, writeDeadline: deadline.Add(writeGrace)}
-}
+func newAnswer(tag uint64, word string) answer { return answer{tag: tag, word: word} }
 
-// newCallAnswer returns the answer to a call with the given deadline. If sendRetryAfter is set, the answer to a rejected call
-// says after how long the client may retry.
-func newCallAnswer(tag uint64, result call.Answer, deadline time.Time, sendRetryAfter bool) answer {
+// newCallAnswer returns the answer to a call. If sendRetryAfter is set, the answer to a rejected call says after how long the
+// client may retry.
+func newCallAnswer(tag uint64, result call.Answer, sendRetryAfter bool) answer {
 	switch result.Outcome {
 	case call.Served:
-		served := newAnswer(tag, wordServed, deadline)
+		served := newAnswer(tag, wordServed)
 		served.body = result.Body
 		return served
 	case call.Rejected:
-		rejected := newAnswer(tag, wordRejected, deadline)
+		rejected := newAnswer(tag, wordRejected)
 		if sendRetryAfter && result.RetryAfter > 0 {
 			rejected.fields = fieldRetryAfter + "=" + strconv.FormatInt(result.RetryAfter.Milliseconds(), 10)
 		}
 		return rejected
 	default:
-		return newAnswer(tag, wordFailed, deadline)
+		return newAnswer(tag, wordFailed)
 	}
 }
 
