The invoke API no longer cuts off responses that devices are reading when it closes

Change: package linger. At SIGTERM the program waits for such connections after the store is closed, until the time at which the last connection of the other frontend goes. Serve takes the share of descriptors, as that of the RESP frontend does.

--- a/cmd/dispatcher/drain.go
+++ b/cmd/dispatcher/drain.go
@@ -16,7 +16,8 @@
 // s.drainState schedules. Finally drain stops the invoke API and logs the metrics.
 func (s *server) drain() error {
 	s.phases.Enter(lifecycle.Draining)
-	s.drainState.Terminate(time.Now())
+	terminatedAt := time.Now()
+	s.drainState.Terminate(terminatedAt)
 	time.Sleep(s.drainState.AcceptAllFor())
 	s.listener.Close()
 	if s.invoke != nil {
@@ -27,7 +28,7 @@
 	}
 	var err error
 	if s.invoke != nil {
-		err = s.invoke.close()
+		err = s.invoke.close(terminatedAt.Add(s.drainState.CloseBy()))
 	}
 	s.descriptors.Check()
 	metrics.Log()
--- a/cmd/dispatcher/invoke.go
+++ b/cmd/dispatcher/invoke.go
@@ -85,7 +85,7 @@
 	}
 	s.server = invoke.New(invokeConfig, s.executor, s.identity)
 	go func() { // ends when close shuts the server down
-		if err := s.server.Serve(share.Listener(listener)); err != nil {
+		if err := s.server.Serve(listener, share); err != nil {
 			serveErrors <- err
 		}
 	}()
@@ -179,13 +179,18 @@
 func (s *invokeService) drain() { s.server.Drain() }
 
 // close shuts down the invoke API, the control socket, the core, the identity source and the executor with its store, in
-// this order. It must not be called while the core has calls in flight.
-func (s *invokeService) close() error {
+// this order. Then it waits until the API's clients have taken their responses, until deliverBy at the latest. It must not be
+// called while the core has calls in flight.
+func (s *invokeService) close(deliverBy time.Time) error {
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(shutdownTimeout))
 	defer cancel()
 	s.server.Shutdown(ctx)
 	s.control.Close()
 	s.core.Stop()
 	s.identity.Close()
-	return s.executor.Close()
+	err := s.executor.Close()
+	delivery, cancelDelivery := context.WithDeadline(context.Background(), deliverBy)
+	defer cancelDelivery()
+	s.server.AwaitDelivery(delivery)
+	return err
 }
--- a/internal/drain/state.go
+++ b/internal/drain/state.go
@@ -120,5 +120,8 @@
 // Evacuation returns the schedule of an evacuation.
 func (s *State) Evacuation() Schedule { return s.evacuation }
 
+// CloseBy returns how long after SIGTERM the last connection is closed.
+func (s *State) CloseBy() time.Duration { return s.termination.CloseBy }
+
 // AcceptAllFor returns how long after SIGTERM new connections are still accepted.
 func (s *State) AcceptAllFor() time.Duration { return s.termination.AcceptAllFor }
--- a/internal/frontend/invoke/harness_test.go
+++ b/internal/frontend/invoke/harness_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"kitefall/internal/descriptors"
 	"kitefall/internal/dispatch"
 	"kitefall/internal/fakes"
 	"kitefall/internal/frontend/invoke"
@@ -75,6 +76,7 @@
 	store    *store.Store
 	executor *executor.Executor
 	server   *invoke.Server
+	share    *descriptors.Share // descriptors of the server's connections
 }
 
 func newTestFrontend(t *testing.T, workers ...*fakes.Worker) *testFrontend {
@@ -113,7 +115,8 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(f.t, err)
 	f.url = "https://" + ln.Addr().String()
-	go f.server.Serve(ln)
+	f.share = descriptors.NewShare(64)
+	go f.server.Serve(ln, f.share)
 }
 
 // stop ends the dispatcher without waiting for requests in flight, as a crash would: the store keeps invocations in flight
--- a/internal/frontend/invoke/server.go
+++ b/internal/frontend/invoke/server.go
@@ -19,7 +19,9 @@
 	"github.com/spiffe/go-spiffe/v2/spiffetls/tlsconfig"
 	"golang.org/x/net/netutil"
 
+	"kitefall/internal/descriptors"
 	"kitefall/internal/invocation/executor"
+	"kitefall/internal/linger"
 	"kitefall/internal/logthrottle"
 )
 
@@ -39,6 +41,7 @@
 	draining     atomic.Bool   // new invocations are rejected; set by Drain and Evacuate, cleared by Rejoin
 	pollContext  atomic.Pointer[pollContext]
 	forbiddenLog *logthrottle.Logger
+	closing      linger.Group // connections whose clients may still be reading a response
 }
 
 // New returns a server, which Serve starts. The config must have been validated, as by ReadConfig.
@@ -70,9 +73,11 @@
 	return config
 }
 
-// Serve accepts connections on ln until Shutdown, and then returns nil.
-func (s *Server) Serve(ln net.Listener) error {
-	err := s.httpServer.ServeTLS(netutil.LimitListener(ln, s.config.MaxConns), "", "")
+// Serve accepts connections on ln until Shutdown, and then returns nil. Each connection holds a descriptor of share until its
+// socket is closed.
+func (s *Server) Serve(ln net.Listener, share *descriptors.Share) error {
+	limited := netutil.LimitListener(share.Listener(linger.Deliver(ln)), s.config.MaxConns)
+	err := s.httpServer.ServeTLS(s.closing.Listener(limited), "", "")
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -84,3 +89,6 @@
 
 // Shutdown stops accepting connections and waits for the requests in flight, until ctx is done.
 func (s *Server) Shutdown(ctx context.Context) error { return s.httpServer.Shutdown(ctx) }
+
+// AwaitDelivery waits, after Shutdown, until the clients have taken their responses, or until ctx is done.
+func (s *Server) AwaitDelivery(ctx context.Context) { s.closing.Wait(ctx) }
