The lock of a ticket store that was replaced meanwhile opens nothing

Cause: the commands wait for the lock with the old file open. The holder renames a new file to the path and closes the old one, and the commands take the store up by the lock of a file that no path names.

Change: openFile compares the locked file with the one that the path names, and begins again within the same deadline if they differ. All opens of a store go through it.

--- a/internal/durable/open.go
+++ b/internal/durable/open.go
@@ -58,17 +58,50 @@
 	return db, nil
 }
 
-// openFile opens a bbolt file. It waits for the lock of the file until lockDeadline, by setting the timeout in o.
+// openFile opens a bbolt file with the options, of which it sets the timeout. It waits for the lock of the file until
+// lockDeadline. A process that
+// held the lock meanwhile may have renamed another file to the path (Compact). openFile then begins again with that file: the lock
+// of the old one protects nothing any more.
 func openFile(path string, lockDeadline time.Time, o *bolt.Options) (*bolt.DB, error) {
-	o.Timeout = time.Until(lockDeadline)
-	file, err := bolt.Open(path, fileMode, o)
+	for {
+		file, current, err := openOnce(path, lockDeadline, *o)
+		if err != nil || current {
+			return file, err
+		}
+		if err := file.Close(); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// openOnce opens a bbolt file, as openFile does, and reports whether the path still names the file once it is locked.
+func openOnce(path string, lockDeadline time.Time, o bolt.Options) (file *bolt.DB, current bool, err error) {
+	open := o.OpenFile
+	if open == nil {
+		open = os.OpenFile
+	}
+	var locked os.FileInfo
+	o.OpenFile = func(name string, flag int, mode os.FileMode) (*os.File, error) {
+		opened, err := open(name, flag, mode)
+		if err != nil {
+			return nil, err
+		}
+		if locked, err = opened.Stat(); err != nil {
+			opened.Close()
+			return nil, err
+		}
+		return opened, nil
+	}
+	o.Timeout = max(time.Until(lockDeadline), time.Nanosecond) // zero would wait for ever
+	file, err = bolt.Open(path, fileMode, &o)
 	switch {
 	case errors.Is(err, bolterrors.ErrTimeout):
-		return nil, fmt.Errorf("%w: %s", ErrLocked, path)
+		return nil, false, fmt.Errorf("%w: %s", ErrLocked, path)
 	case err != nil:
-		return nil, fmt.Errorf("%w: %s: %v", ErrDamaged, path, err)
+		return nil, false, fmt.Errorf("%w: %s: %v", ErrDamaged, path, err)
 	}
-	return file, nil
+	named, err := os.Stat(path)
+	return file, err == nil && os.SameFile(locked, named), nil
 }
 
 // checkFileSize returns an error if the file is too short for its pages. bbolt would map a truncated file without an
