A lingering connection is not stalled before its first acknowledgement

Cause: seen while reading the change again.

Change: the time of the last progress begins with the accept, and that of a lingering connection with its lingering.

Result: TestConnectionIsNotStalledBeforeItsFirstAcknowledgement fails without the change and passes with it.

--- a/internal/frontend/invoke/slowreader_test.go
+++ b/internal/frontend/invoke/slowreader_test.go
@@ -4,22 +4,20 @@
 	"bufio"
 	"context"
 	"crypto/tls"
-	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-	"golang.org/x/sys/unix"
 
 	"kitefall/internal/fakes"
+	"kitefall/internal/tcptest"
 )
 
 // slowReadBuffer is the size of the receive buffer of a device that reads slowly, in bytes.
@@ -31,16 +29,7 @@
 // dialWithSmallBuffer connects to the frontend with a receive buffer of slowReadBuffer.
 func (f *testFrontend) dialWithSmallBuffer() net.Conn {
 	f.t.Helper()
-	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		var err error
-		controlErr := raw.Control(func(descriptor uintptr) {
-			err = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, slowReadBuffer)
-		})
-		return errors.Join(err, controlErr)
-	}}
-	raw, err := dialer.DialContext(context.Background(), "tcp", strings.TrimPrefix(f.url, "https://"))
-	require.NoError(f.t, err)
-	f.t.Cleanup(func() { raw.Close() })
+	raw := tcptest.DialWithReadBuffer(f.t, strings.TrimPrefix(f.url, "https://"), slowReadBuffer)
 	require.NoError(f.t, raw.SetDeadline(fakes.Deadline()))
 	return raw
 }
--- a/internal/frontend/resp/delivery.go
+++ b/internal/frontend/resp/delivery.go
@@ -73,7 +73,7 @@
 	for _, conn := range s.lingeringConns() {
 		if delivery, _ := conn.observeDelivery(now); !delivery.Unacknowledged {
 			conn.Close()
-		} else if now.Sub(conn.lastProgress) > s.Timeouts.Idle {
+		} else if conn.stalledFor(now) > s.Timeouts.Idle {
 			conn.forceClose(closedStalled)
 		}
 	}
@@ -113,6 +113,15 @@
 	return delivery, ok
 }
 
+// stalledFor returns for how long the client has taken nothing of its answers, as far as observeDelivery has seen: at most since the
+// connection began to linger.
+func (t *trackedConn) stalledFor(now time.Time) time.Duration {
+	if t.lingeringSince.After(t.lastProgress) {
+		return now.Sub(t.lingeringSince)
+	}
+	return now.Sub(t.lastProgress)
+}
+
 // lastTaken returns when the client's kernel last took a part of the answers, or the zero time if that is not known. While there is
 // more to take, that is when observeDelivery last saw a change.
 func (t *trackedConn) lastTaken(now time.Time) time.Time {
--- a/internal/frontend/resp/drain.go
+++ b/internal/frontend/resp/drain.go
@@ -80,7 +80,7 @@
 	switch {
 	case client == nil || !t.pastCloseDeadline:
 		t.closePastDeadline(inFlight)
-	case now.Sub(t.lastProgress) > stallTimeout:
+	case t.stalledFor(now) > stallTimeout:
 		t.forceClose(closedStalled)
 	default:
 		client.finish(closedDrainTimeout)
--- a/internal/frontend/resp/slowreader_test.go
+++ b/internal/frontend/resp/slowreader_test.go
@@ -2,25 +2,21 @@
 
 import (
 	"bufio"
-	"context"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"strconv"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-	"golang.org/x/sys/unix"
 
 	"kitefall/internal/drain"
 	"kitefall/internal/fakes"
 	"kitefall/internal/frontend/resp"
 	"kitefall/internal/metrics"
+	"kitefall/internal/tcptest"
 )
 
 // Sizes of the receive buffers of clients that read slowly, in bytes.
@@ -36,16 +32,7 @@
 // connectSlowReader connects a client with a receive buffer of the given size.
 func connectSlowReader(t *testing.T, addr string, readBuffer int) *client {
 	t.Helper()
-	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		var err error
-		controlErr := raw.Control(func(descriptor uintptr) {
-			err = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, readBuffer)
-		})
-		return errors.Join(err, controlErr)
-	}}
-	conn, err := dialer.DialContext(context.Background(), "tcp", addr)
-	require.NoError(t, err)
-	t.Cleanup(func() { conn.Close() })
+	conn := tcptest.DialWithReadBuffer(t, addr, readBuffer)
 	require.NoError(t, conn.SetDeadline(fakes.Deadline()))
 	return &client{Conn: conn, t: t, reader: bufio.NewReaderSize(conn, len(longBody)+slowReadBuffer)}
 }
@@ -68,6 +55,7 @@
 func addressOf(t *testing.T, server *resp.Server, connect func() *client) string {
 	t.Helper()
 	first := connect()
+	require.Eventually(t, func() bool { return server.OpenConns() == 1 }, 10*time.Second, time.Millisecond)
 	first.Close()
 	require.Eventually(t, func() bool { return server.OpenConns() == 0 }, 10*time.Second, time.Millisecond)
 	return first.RemoteAddr().String()
--- a/internal/frontend/resp/trackedconn.go
+++ b/internal/frontend/resp/trackedconn.go
@@ -43,6 +43,7 @@
 // track registers an accepted connection with the server.
 func (s *Server) track(conn net.Conn) *trackedConn {
 	tracked := &trackedConn{server: s, acceptedAt: time.Now()}
+	tracked.lastProgress = tracked.acceptedAt
 	tracked.Conn = gatedconn.New(conn, tracked.observe)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/frontend/resp/unread_test.go
+++ b/internal/frontend/resp/unread_test.go
@@ -36,6 +36,21 @@
 	}
 }
 
+// A connection is not stalled just because the acknowledgement of its first answer takes longer than the time between two sweeps, as
+// over a slow network.
+func TestConnectionIsNotStalledBeforeItsFirstAcknowledgement(t *testing.T) {
+	_, accepted := tcptest.Pair(t)
+	s := &Server{DrainState: drain.New(drain.Schedule{}, drain.Schedule{}), descriptors: descriptors.NewShare(4)}
+	s.init()
+	conn := s.track(accepted)
+	assert.Less(t, conn.stalledFor(time.Now()), time.Second)
+	now := conn.acceptedAt.Add(time.Minute)
+	conn.lingeringSince = now.Add(-time.Millisecond)
+	assert.Equal(t, time.Millisecond, conn.stalledFor(now))
+	conn.lastProgress = now
+	assert.Zero(t, conn.stalledFor(now))
+}
+
 // Connections without a request are evicted first, then those that have been idle longest. Connections without a request that
 // were accepted less than NewConnGrace ago are evicted last, because their first request may be on its way.
 func TestIdleConnectionCloseOrder(t *testing.T) {
