--- a/internal/frontend/resp/delivery.go
+++ b/internal/frontend/resp/delivery.go
@@ -113,8 +113,8 @@
 	return delivery, ok
 }
 
-// stalledFor returns for how long the client has taken nothing of its answers, as far as observeDelivery has seen: at most since the
-// connection began to linger.
+// stalledFor returns the time since the client last took a part of its answers, as seen by observeDelivery, or since the connection
+// began to linger, if that was later.
 func (t *trackedConn) stalledFor(now time.Time) time.Duration {
 	if t.lingeringSince.After(t.lastProgress) {
 		return now.Sub(t.lingeringSince)
