The time of a client's last progress is read under the lock; lines of package drain

Cause: stalledFor read when a connection began to linger without the lock under which closeOnceDelivered sets it.

Change: the lock, and shorter lines.

--- a/internal/drain/schedule.go
+++ b/internal/drain/schedule.go
@@ -59,8 +59,8 @@
 	return Schedule{AcceptAllFor: acceptAllFor, AnswerBy: kill - answerMargin, CloseBy: kill - closeMargin}
 }
 
-// Evacuation returns the schedule that starts when operators request an evacuation. The time that clients take to
-// read their answers is not counted by the operations page, and no SIGKILL follows.
+// Evacuation returns the schedule that starts when operators request an evacuation. The operations page does
+// not count the time that clients take to read their answers, and no SIGKILL follows.
 func Evacuation() Schedule {
 	return Schedule{
 		AcceptAllFor:      acceptAllFor,
@@ -86,7 +86,7 @@
 	Keep           Action = iota // leave the connection open
 	CloseIfIdle                  // close the connection if nothing is in use on it
 	AnswerAndClose               // fail the requests in flight on the connection at once, then close it
-	Finish                       // read no more requests, and close the connection once the client has taken the answers
+	Finish                       // read no more requests, and close the connection once the answers are taken
 	Close                        // close the connection even if it is in use
 )
 
--- a/internal/frontend/resp/delivery.go
+++ b/internal/frontend/resp/delivery.go
@@ -116,6 +116,8 @@
 // stalledFor returns the time since the client last took a part of its answers, as seen by observeDelivery, or since the connection
 // began to linger, if that was later.
 func (t *trackedConn) stalledFor(now time.Time) time.Duration {
+	t.server.mu.Lock()
+	defer t.server.mu.Unlock()
 	if t.lingeringSince.After(t.lastProgress) {
 		return now.Sub(t.lingeringSince)
 	}
