--- a/review/peers2/dispatcher.go
+++ b/review/peers2/dispatcher.go
@@ -68,6 +68,11 @@
 // AwaitReady waits until the dispatcher answers CHECK with yes.
 func (d *Dispatcher) AwaitReady(addr string, within time.Duration) error {
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		select {
+		case <-d.ended:
+			return errors.New("the dispatcher has ended before it was ready")
+		default:
+		}
 		client, err := DialClient(addr)
 		if err != nil {
 			continue
--- a/review/peers2/site.go
+++ b/review/peers2/site.go
@@ -12,8 +12,10 @@
 	URL        string // of the invoke API
 	Own        *Issuer
 	Workload   *WorkloadAPI
+	InvokeFile string // the operator's file
 
-	board *Board
+	board  *Board
+	config string // path of the dispatcher's configuration
 }
 
 // readyWithin is how long a dispatcher may take to be ready.
@@ -40,23 +42,30 @@
 	if s.Workload, err = NewWorkloadAPI(s.Own, federated...); err != nil {
 		return nil, err
 	}
-	config := filepath.Join(c.Dir, "config.json")
-	if err := NewConfig(s.Addr, s.board, Settings(TurnosClasses())).Write(config); err != nil {
+	s.config = filepath.Join(c.Dir, "config.json")
+	if err := NewConfig(s.Addr, s.board, Settings(TurnosClasses())).Write(s.config); err != nil {
 		return nil, err
 	}
-	invoke, url, err := WriteInvokeFile(c, s.Workload.Addr, tenants)
-	if err != nil {
+	if s.InvokeFile, s.URL, err = WriteInvokeFile(c, s.Workload.Addr, tenants); err != nil {
 		return nil, err
 	}
-	s.URL = url
-	if s.Dispatcher, err = StartDispatcher(c, config, "-invoke", invoke); err != nil {
+	if err := s.Start(c); err != nil {
 		return nil, err
 	}
+	return s, nil
+}
+
+// Start starts the dispatcher, at first or once more after its end, and waits until it is ready.
+func (s *Site) Start(c *Case) error {
+	var err error
+	if s.Dispatcher, err = StartDispatcher(c, s.config, "-invoke", s.InvokeFile); err != nil {
+		return err
+	}
 	if err := s.Dispatcher.AwaitReady(s.Addr, readyWithin); err != nil {
-		s.Close()
-		return nil, err
+		s.Dispatcher.Kill()
+		return err
 	}
-	return s, nil
+	return nil
 }
 
 // Close ends the dispatcher and its peers.
