The invoke API answers what waits at SIGTERM, and ends before the earliest SIGKILL

The process ended 5.7 s after SIGTERM, 2.5 s after the earliest SIGKILL; half a request of one device held it as long.

Cause: two owners of one schedule. The RESP frontend follows drain.Schedule for both drains, the invoke API only for evacuations: followDrain returned at SIGTERM, and close gave http.Server.Shutdown 5 s of its own and ignored its result. Nothing ended a synchronous call, its repeat, or the read of a body. An evacuation held half requests for the read timeout of 10 s.

Change: drain.State says when the steps of the drains in progress are due, the earlier of two; followDrain carries them out for both. EndWaits answers everything that waits with what is known of it, rejects incomplete bodies and closes connections without a request. The end comes as soon as nothing is in progress. shutdownTimeout is gone.

--- a/cmd/dispatcher/drain.go
+++ b/cmd/dispatcher/drain.go
@@ -7,31 +7,40 @@
 	"kitefall/internal/metrics"
 )
 
-// drainPollInterval is the time between two checks for calls in flight and open client connections.
+// drainPollInterval is the time between two checks for work in progress and open client connections.
 const drainPollInterval = 5 * time.Millisecond
 
-// drain shuts the service down gracefully. The program still accepts new connections and all calls for the time that
-// drain.State.AcceptAllFor returns. Then drain closes the listener for clients, has the invoke API reject new
-// invocations, and waits until all calls in flight are answered and the frontend has closed all client connections, as
-// s.drainState schedules. Finally drain stops the invoke API and logs the metrics.
+// drain shuts the service down gracefully, as s.drainState schedules it. The program still
+// accepts new connections and all requests for the time that the schedule's AcceptAllFor gives. Then drain closes the listener for
+// clients, and waits until everything in progress has ended and the frontend has closed all client connections. Finally drain
+// stops the invoke API, which answers what still waits, and logs the metrics.
 func (s *server) drain() error {
 	s.phases.Enter(lifecycle.Draining)
 	terminatedAt := time.Now()
 	s.drainState.Terminate(terminatedAt)
-	time.Sleep(s.drainState.AcceptAllFor())
+	schedule := s.drainState.Termination()
+	time.Sleep(schedule.AcceptAllFor)
 	s.listener.Close()
-	if s.invoke != nil {
-		s.invoke.drain()
-	}
-	for s.core.InFlight() > 0 || s.frontend.OpenConns() > 0 {
-		time.Sleep(drainPollInterval)
-	}
+	s.awaitWork(terminatedAt.Add(schedule.AnswerBy))
 	var err error
 	if s.invoke != nil {
-		err = s.invoke.close(terminatedAt.Add(s.drainState.CloseBy()))
+		err = s.invoke.close(terminatedAt.Add(schedule.CloseBy))
 	}
 	s.descriptors.Check()
 	metrics.Log()
 	s.phases.Enter(lifecycle.Stopped)
 	return err
 }
+
+// awaitWork waits until nothing is in progress, until answerBy at the latest, and until the frontend has closed all client
+// connections.
+func (s *server) awaitWork(answerBy time.Time) {
+	for s.frontend.OpenConns() > 0 || (s.workInProgress() && time.Now().Before(answerBy)) {
+		time.Sleep(drainPollInterval)
+	}
+}
+
+// workInProgress reports whether calls are in flight, or invocations have begun whose outcome is not stored yet.
+func (s *server) workInProgress() bool {
+	return s.core.InFlight() > 0 || (s.invoke != nil && s.invoke.executor.InProgress() > 0)
+}
--- a/cmd/dispatcher/invoke.go
+++ b/cmd/dispatcher/invoke.go
@@ -31,8 +31,6 @@
 	maxClockOffset = time.Minute
 	// invokeGCPercent is the garbage collector's target percentage (GOGC) while the invoke API is on; Go's default is 100.
 	invokeGCPercent = 50
-	// shutdownTimeout is how long HTTP requests in flight may take to finish, from the call of invokeService.close.
-	shutdownTimeout = 5 * time.Second
 )
 
 // invokeService is the invoke API with its dependencies: the executor of invocations, which owns their store, the control
@@ -140,57 +138,50 @@
 	return invocationStore, clock, nil
 }
 
-// followDrain evacuates the invoke API, or has it accept clients again, whenever the drain state changes. It returns once
-// the process is terminating, as server.drain then shuts the invoke API down.
+// followDrain drains the invoke API as package drain schedules it, or has it accept clients again, whenever the drain state changes.
+// It returns once the last steps of a termination are carried out.
 func (s *invokeService) followDrain(state *drain.State) {
 	for {
-		changed := state.Changed() // read before the phase, so that no change between the two reads is missed
-		switch state.Phase() {
-		case drain.Terminating:
-			return
-		case drain.Evacuating:
-			s.evacuate(state.Evacuation(), changed)
-		case drain.Serving:
+		changed := state.Changed() // read before the times, so that no change between the two reads is missed
+		times, draining := state.Times()
+		if !draining {
 			s.server.Rejoin()
 		}
+		if draining && s.runDrain(times, changed) && state.Phase() == drain.Terminating {
+			return
+		}
 		<-changed
 	}
 }
 
-// evacuate carries out the steps of an evacuation at the times of the schedule, counted from now. It returns early when
-// changed is closed.
-func (s *invokeService) evacuate(schedule drain.Schedule, changed <-chan struct{}) {
-	start := time.Now()
+// runDrain carries out the steps of a drain at their times. It returns early, and false, when changed is closed.
+func (s *invokeService) runDrain(times drain.Times, changed <-chan struct{}) (finished bool) {
 	for _, step := range []struct {
-		after time.Duration
-		run   func()
-	}{{schedule.AcceptAllFor, s.server.Evacuate}, {schedule.AnswerBy, s.server.EndLongPolls}} {
+		at  time.Time
+		run func()
+	}{{times.RejectFrom, s.server.Drain}, {times.AnswerBy, s.server.EndWaits}} {
 		select {
-		case <-time.After(time.Until(start.Add(step.after))):
+		case <-time.After(time.Until(step.at)):
 			step.run()
 		case <-changed:
-			return
+			return false
 		}
 	}
+	return true
 }
 
-// drain rejects new invocations from now on. Otherwise a busy invoke API would always have calls in flight, and the program
-// could not end.
-func (s *invokeService) drain() { s.server.Drain() }
-
 // close shuts down the invoke API, the control socket, the core, the identity source and the executor with its store, in
-// this order. Then it waits until the API's clients have taken their responses, until deliverBy at the latest. It must not be
-// called while the core has calls in flight.
+// this order. Requests that still wait are answered at once with what is known of their invocations. Calls in flight at the core
+// remain on record, and the next start takes them up. The API's clients have until deliverBy to take their responses.
 func (s *invokeService) close(deliverBy time.Time) error {
-	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(shutdownTimeout))
+	ctx, cancel := context.WithDeadline(context.Background(), deliverBy)
 	defer cancel()
+	s.server.EndWaits()
 	s.server.Shutdown(ctx)
 	s.control.Close()
 	s.core.Stop()
 	s.identity.Close()
 	err := s.executor.Close()
-	delivery, cancelDelivery := context.WithDeadline(context.Background(), deliverBy)
-	defer cancelDelivery()
-	s.server.AwaitDelivery(delivery)
+	s.server.AwaitDelivery(ctx)
 	return err
 }
--- a/cmd/dispatcher/server.go
+++ b/cmd/dispatcher/server.go
@@ -67,7 +67,7 @@
 		if s.invoke, err = startInvoke(s.invokeConfig, s.config, s.core, s.descriptors.InvokeClients, s.serveErrors); err != nil {
 			return err
 		}
-		go s.invoke.followDrain(s.drainState) // returns once drain has entered the phase Terminating
+		go s.invoke.followDrain(s.drainState) // returns after the last step of a termination
 	}
 	if err := s.openFrontend(signals.terminate); err != nil {
 		return err
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -144,3 +144,19 @@
 		return open
 	}
 }
+
+// SIGTERM during an evacuation: each step is due at the earlier of its two times, also where the evacuation's time has passed.
+func TestTimesOfTwoDrains(t *testing.T) {
+	start := time.Now()
+	s := New(Evacuation(), Termination(time.Second))
+	_, draining := s.Times()
+	assert.False(t, draining)
+	s.Evacuate(start)
+	evacuating, draining := s.Times()
+	assert.True(t, draining)
+	assert.Equal(t, Times{RejectFrom: start.Add(700 * ms), AnswerBy: start.Add(Evacuation().AnswerBy)}, evacuating)
+	terminatedAt := start.Add(time.Second)
+	s.Terminate(terminatedAt)
+	both, _ := s.Times()
+	assert.Equal(t, Times{RejectFrom: start.Add(700 * ms), AnswerBy: terminatedAt.Add(Termination(time.Second).AnswerBy)}, both)
+}
--- a/internal/drain/state.go
+++ b/internal/drain/state.go
@@ -117,11 +117,36 @@
 	return action
 }
 
-// Evacuation returns the schedule of an evacuation.
-func (s *State) Evacuation() Schedule { return s.evacuation }
+// Times holds when the steps of the drains in progress are due. With two drains in progress, a step is due at the
+// earlier of its two times.
+type Times struct {
+	RejectFrom time.Time // from then on, requests are no longer accepted
+	AnswerBy   time.Time // all accepted requests have been answered
+}
 
-// CloseBy returns how long after SIGTERM the last connection is closed.
-func (s *State) CloseBy() time.Duration { return s.termination.CloseBy }
+// Times returns when the steps of the drains in progress are due, and reports whether a drain is in progress.
+func (s *State) Times() (times Times, draining bool) {
+	for _, schedule := range s.current.Load().running {
+		next := Times{
+			RejectFrom: schedule.start.Add(schedule.AcceptAllFor),
+			AnswerBy:   schedule.start.Add(schedule.AnswerBy),
+		}
+		if !draining {
+			times, draining = next, true
+			continue
+		}
+		times.RejectFrom = earlier(times.RejectFrom, next.RejectFrom)
+		times.AnswerBy = earlier(times.AnswerBy, next.AnswerBy)
+	}
+	return times, draining
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
 
-// AcceptAllFor returns how long after SIGTERM new connections are still accepted.
-func (s *State) AcceptAllFor() time.Duration { return s.termination.AcceptAllFor }
+// Termination returns the schedule that starts at SIGTERM.
+func (s *State) Termination() Schedule { return s.termination }
--- a/internal/frontend/invoke/create.go
+++ b/internal/frontend/invoke/create.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
 	"kitefall/internal/invocation"
+	"kitefall/internal/invocation/executor"
 )
 
 // answerGrace is how long after the deadline of a synchronous invocation the server still waits for the outcome to be stored.
@@ -15,8 +17,8 @@
 // one is its outcome if the invocation completes within the wait that the client prefers, and otherwise a pending document
 // with the path to poll.
 func (s *Server) handleCreate(w http.ResponseWriter, r *http.Request, tenant string) error {
-	if s.draining.Load() {
-		return rejected(rejectionRetryAfter).withDetail("the dispatcher takes no clients at present")
+	if err := s.rejectWhileDraining(); err != nil {
+		return err
 	}
 	receivedAt := time.Now()
 	preferences := parsePreferences(r.Header)
@@ -29,6 +31,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.rejectWhileDraining(); err != nil { // the drain may have begun while the body was read
+		return err
+	}
 	if deferred {
 		return s.createDeferred(w, r, request, receivedAt, wait)
 	}
@@ -38,12 +43,16 @@
 // createSynchronous runs a synchronous invocation and responds with its outcome.
 func (s *Server) createSynchronous(w http.ResponseWriter, r *http.Request, request invocation.Request) error {
 	answerDeadline := s.executor.Clock().ToSystemTime(request.Expires).Add(answerGrace)
-	ctx, cancel := context.WithDeadline(r.Context(), answerDeadline)
-	defer cancel()
+	ctx, stop := s.limitWait(r, answerDeadline)
+	defer stop()
 	view, err := s.executor.Invoke(ctx, request)
 	if err != nil {
 		return err
 	}
+	endedByDrain := view.Outcome == invocation.OutcomeCancelled && errors.Is(context.Cause(ctx), executor.ErrAnswerNow)
+	if endedByDrain && view.Idempotent { // a retry does no harm
+		return rejectedByDrain()
+	}
 	return s.writeView(w, view)
 }
 
--- a/internal/frontend/invoke/invoke_test.go
+++ b/internal/frontend/invoke/invoke_test.go
@@ -152,7 +152,7 @@
 	assert.ErrorIs(t, err, invocation.ErrStorage)
 }
 
-// During an evacuation the server rejects new invocations, and after EndLongPolls no poll waits. Invocations in flight continue.
+// During an evacuation the server rejects new invocations, and after EndWaits no poll waits. Invocations in flight continue.
 // After Rejoin the server accepts new invocations.
 func TestEvacuationEndsWaitingPollsAndRejoinAcceptsInvocations(t *testing.T) {
 	w := fakes.NewWorker(t)
@@ -162,13 +162,13 @@
 	pollStatus := make(chan int, 1)
 	go func() { pollStatus <- f.poll(deferred.location()).status }()
 	require.Never(t, func() bool { return len(pollStatus) > 0 }, 100*time.Millisecond, 10*time.Millisecond)
-	f.server.Evacuate()
+	f.server.Drain()
 	// A request on an idle connection would fail if the server closed that connection at the same time.
 	f.clientA.CloseIdleConnections()
 	assert.Equal(t, problem{status: 503, name: "refused", retryable: true}, f.invoke(bookPath, `"late slot"`).problem)
-	f.server.EndLongPolls()
+	f.server.EndWaits()
 	assert.Equal(t, http.StatusAccepted, <-pollStatus)
-	assert.Equal(t, http.StatusAccepted, f.poll(deferred.location()).status, "polls after EndLongPolls do not wait either")
+	assert.Equal(t, http.StatusAccepted, f.poll(deferred.location()).status, "polls after EndWaits do not wait either")
 	f.server.Rejoin()
 	workerCall.AnswerOK(`"booked"`)
 	assert.Equal(t, `"booked"`, f.awaitOutcome(deferred.location()).body)
--- a/internal/frontend/invoke/poll.go
+++ b/internal/frontend/invoke/poll.go
@@ -1,7 +1,6 @@
 package invoke
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -33,12 +32,11 @@
 }
 
 // awaitAndWriteView waits for the outcome of an invocation until waitUntil, and then writes the outcome or a pending
-// document. EndLongPolls ends the wait early.
+// document. EndWaits ends the wait early.
 func (s *Server) awaitAndWriteView(w http.ResponseWriter, r *http.Request, waitUntil time.Time,
 	tenant, id string) error {
-	ctx, cancel := context.WithDeadline(r.Context(), waitUntil)
-	defer cancel()
-	defer context.AfterFunc(s.pollContext.Load().ctx, cancel)()
+	ctx, stop := s.limitWait(r, waitUntil)
+	defer stop()
 	view, err := s.executor.Wait(ctx, tenant, id)
 	if err != nil {
 		return err
--- a/internal/frontend/invoke/request.go
+++ b/internal/frontend/invoke/request.go
@@ -1,6 +1,7 @@
 package invoke
 
 import (
+	"context"
 	"crypto/sha256"
 	"errors"
 	"fmt"
@@ -36,7 +37,7 @@
 	if err := parseHeaders(r.Header, function, &request, now); err != nil {
 		return invocation.Request{}, err
 	}
-	body, err := readBody(w, r, function.MaxBody)
+	body, err := s.readBody(w, r, function.MaxBody)
 	if err != nil {
 		return invocation.Request{}, err
 	}
@@ -116,12 +117,17 @@
 	return now.Add(delay), nil
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, error) {
+// readBody reads the body of a request. EndWaits ends the read of an incomplete body, and the request is rejected.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, error) {
 	// The read deadline applies only to the body: if it stayed set, it would also end the wait for the outcome.
 	controller := http.NewResponseController(w)
 	controller.SetReadDeadline(time.Now().Add(readTimeout))
-	defer controller.SetReadDeadline(time.Time{})
+	removeLimit := context.AfterFunc(s.waitLimit.Load().ctx, func() { controller.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
+	if limited := !removeLimit(); limited { // the read deadline may be set at any time from now on
+		return nil, rejectedByDrain()
+	}
+	controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, bodyTooLarge(maxBytes)
--- a/internal/frontend/invoke/server.go
+++ b/internal/frontend/invoke/server.go
@@ -38,8 +38,9 @@
 	executor     *executor.Executor
 	httpServer   *http.Server
 	slots        chan struct{} // holds an element for each request in flight
-	draining     atomic.Bool   // new invocations are rejected; set by Drain and Evacuate, cleared by Rejoin
-	pollContext  atomic.Pointer[pollContext]
+	conns        *connTracker
+	draining     atomic.Bool               // new invocations are rejected; set by Drain, cleared by Rejoin
+	waitLimit    atomic.Pointer[waitLimit] // ends the waits of all requests; replaced by Rejoin
 	forbiddenLog *logthrottle.Logger
 	closing      linger.Group // connections whose clients may still be reading a response
 }
@@ -50,11 +51,14 @@
 		config:       config,
 		executor:     invocationExecutor,
 		slots:        make(chan struct{}, config.MaxInFlight),
+		conns:        newConnTracker(),
 		forbiddenLog: logthrottle.New(),
 	}
-	s.pollContext.Store(newPollContext())
+	s.waitLimit.Store(newWaitLimit())
 	s.httpServer = &http.Server{
-		Handler:           s.closeWhileDraining(s.routes()),
+		Handler:           s.conns.markInUse(s.closeWhileDraining(s.routes())),
+		ConnContext:       s.conns.connContext,
+		ConnState:         s.conns.connState,
 		TLSConfig:         newTLSConfig(identity),
 		ReadHeaderTimeout: readTimeout,
 		IdleTimeout:       idleTimeout,
@@ -84,11 +88,5 @@
 	return err
 }
 
-// Drain rejects new invocations from now on, so that the number of invocations in flight falls to zero. Polls are still answered.
-func (s *Server) Drain() { s.draining.Store(true) }
-
-// Shutdown stops accepting connections and waits for the requests in flight, until ctx is done.
-func (s *Server) Shutdown(ctx context.Context) error { return s.httpServer.Shutdown(ctx) }
-
 // AwaitDelivery waits, after Shutdown, until the clients have taken their responses, or until ctx is done.
 func (s *Server) AwaitDelivery(ctx context.Context) { s.closing.Wait(ctx) }
--- a/internal/frontend/invoke/slowreader_test.go
+++ b/internal/frontend/invoke/slowreader_test.go
@@ -57,8 +57,8 @@
 // endings are the ways in which the frontend closes its connections.
 var endings = map[string]func(*testFrontend){
 	"evacuation": func(f *testFrontend) {
-		f.server.Evacuate()
-		f.server.EndLongPolls()
+		f.server.Drain()
+		f.server.EndWaits()
 	},
 	"shutdown": func(f *testFrontend) {
 		f.server.Drain()
--- a/internal/invocation/executor/executor.go
+++ b/internal/invocation/executor/executor.go
@@ -102,7 +102,7 @@
 		foreground:   foregroundSet{byID: map[string]*foregroundInvocation{}},
 		reservations: keyReservations{byKey: map[string]*keyReservation{}},
 		waiters:      waiterSet{byID: map[string]*waiter{}},
-		runs:         runSet{byID: map[string]*submission{}},
+		runs:         runSet{byID: map[string]*submission{}, active: map[*submission]struct{}{}},
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.feeder = newFeeder(e, scheduler)
@@ -113,6 +113,9 @@
 // them.
 func (e *Executor) Clock() *monotonic.Clock { return e.clock }
 
+// InProgress returns the number of runs and foreground invocations that have begun and whose outcome is not stored yet.
+func (e *Executor) InProgress() int { return e.runs.activeCount() + e.foreground.count() }
+
 // Close stops the executor's goroutines, waits until they have returned and closes the store. Stored invocations that
 // have not completed are recovered at the next start of the program.
 func (e *Executor) Close() error {
--- a/internal/invocation/executor/foreground_set.go
+++ b/internal/invocation/executor/foreground_set.go
@@ -29,3 +29,10 @@
 	delete(s.byID, id)
 	return found
 }
+
+// count returns the number of invocations that have not completed.
+func (s *foregroundSet) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.byID)
+}
--- a/internal/invocation/executor/invoke.go
+++ b/internal/invocation/executor/invoke.go
@@ -11,6 +11,17 @@
 	"kitefall/internal/schedule"
 )
 
+// ErrAnswerNow is the cause of a context that is cancelled although its client still waits: the client must be answered at once.
+var ErrAnswerNow = errors.New("the client must be answered now")
+
+// MustAnswer reports whether ctx, the context of a client's request, is done while the client still waits for a response: its
+// deadline has passed, or it was cancelled with ErrAnswerNow. A context that is cancelled otherwise is that of a client that has
+// left.
+func MustAnswer(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, ErrAnswerNow)
+}
+
 // Invoke runs a request at once, as a foreground invocation. It returns the invocation once it has completed, or in its
 // current state when ctx is done. If the request's Idempotency-Key already belongs to another invocation, Invoke runs
 // nothing and waits for that invocation. It fails with ErrNotFound for an unknown function, with ErrKeyReused, with ErrStorage,
@@ -100,11 +111,11 @@
 	return view, err
 }
 
-// waitRecorded waits until a foreground invocation has completed or ctx is done. An invocation that has not completed by the
-// deadline of ctx is stored, since its client is then told where to look it up.
+// waitRecorded waits until a foreground invocation has completed or ctx is done. An invocation that has not completed when its
+// client must be answered is stored, since the client is then told where to look it up.
 func (e *Executor) waitRecorded(ctx context.Context, fg *foregroundInvocation) (View, error) {
 	view, err := fg.wait(ctx)
-	if err == nil && view.State != invocation.StateCompleted && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if err == nil && view.State != invocation.StateCompleted && MustAnswer(ctx) {
 		return e.recordForeground(fg)
 	}
 	return view, err
--- a/internal/invocation/executor/run.go
+++ b/internal/invocation/executor/run.go
@@ -21,17 +21,20 @@
 
 // startRun executes a StartRun action of the scheduler.
 func (e *Executor) startRun(id string) {
+	run := e.runs.begin(id)
 	inv, err := e.prepareRun(id)
 	if err != nil {
+		e.runs.remove(id)
+		e.runs.end(run)
 		e.abortRun(id, err)
 		return
 	}
 	coreCall, err := e.catalog.Call(&inv.Request)
 	if err != nil { // the function was removed from the catalog after the run had been scheduled
-		e.completeRun(inv, call.Answer{Outcome: call.Rejected})
+		e.completeRun(inv, run, call.Answer{Outcome: call.Rejected})
 		return
 	}
-	e.submitRun(inv, coreCall)
+	e.submitRun(inv, run, coreCall)
 }
 
 // prepareRun applies EventSubmit to an invocation and returns it with its body.
@@ -79,7 +82,7 @@
 }
 
 // submitRun submits the call of a run to the dispatcher.
-func (e *Executor) submitRun(inv *invocation.Invocation, coreCall *call.Call) {
+func (e *Executor) submitRun(inv *invocation.Invocation, run *submission, coreCall *call.Call) {
 	// Each run has its own call ID, since an answer to an earlier run may still arrive.
 	coreCall.ID = mathrand.Uint64()
 	coreCall.Deadline = e.clock.ToSystemTime(e.runDeadline(inv))
@@ -89,16 +92,15 @@
 	coreCall.Done = func(answer call.Answer) {
 		failpoint.Hit("run-ended")
 		// The dispatcher's goroutine must not wait for the disk.
-		e.goroutines.Go(func() { e.completeRun(inv, answer) })
+		e.goroutines.Go(func() { e.completeRun(inv, run, answer) })
 	}
-	run := e.runs.add(inv.ID)
 	handle, err := e.core.Submit(coreCall)
 	if err != nil {
 		coreCall.Done(call.Answer{Outcome: call.Rejected})
 		return
 	}
 	if cancelled := run.setHandle(handle); cancelled {
-		e.abandonRun(inv.ID, handle)
+		e.abandonRun(inv.ID, run, handle)
 	}
 }
 
@@ -126,23 +128,25 @@
 		return
 	}
 	if handle := run.markCancelled(); handle != nil {
-		e.abandonRun(id, handle)
+		e.abandonRun(id, run, handle)
 	}
 }
 
 // abandonRun cancels a run at the dispatcher and frees its place in the scheduler with a RunAbortedEvent, since the
 // dispatcher does not report the end of a cancelled call.
-func (e *Executor) abandonRun(id string, handle *dispatch.Handle) {
+func (e *Executor) abandonRun(id string, run *submission, handle *dispatch.Handle) {
 	handle.Cancel()
 	e.runs.remove(id)
+	e.runs.end(run)
 	e.feeder.send(schedule.RunAbortedEvent{ID: id})
 }
 
 // completeRun stores the end of a run and retries until the store accepts it or the executor is closed. Clients do not
 // get the outcome before it is stored: an outcome in memory alone could differ from the one found after a restart of the
 // program.
-func (e *Executor) completeRun(inv *invocation.Invocation, answer call.Answer) {
+func (e *Executor) completeRun(inv *invocation.Invocation, run *submission, answer call.Answer) {
 	e.runs.remove(inv.ID)
+	defer e.runs.end(run)
 	input := inputFor(answer)
 	input.RetryAt = e.feeder.runEnded(inv.ID, input.Event, answer.RetryAfter)
 	for {
--- a/internal/invocation/executor/run_set.go
+++ b/internal/invocation/executor/run_set.go
@@ -2,31 +2,47 @@
 
 import "sync"
 
-// runSet holds the runs in progress of deferred invocations, by invocation ID.
+// runSet holds the runs of deferred invocations. It is safe for concurrent use.
 type runSet struct {
-	mu   sync.Mutex
-	byID map[string]*submission
+	mu     sync.Mutex
+	byID   map[string]*submission   // runs that can be cancelled, by invocation ID
+	active map[*submission]struct{} // runs that have begun and whose outcome is not stored yet
 }
 
-// add adds the run of an invocation. The caller is about to submit the run to the dispatcher.
-func (s *runSet) add(id string) *submission {
+// begin adds a run of an invocation.
+func (s *runSet) begin(id string) *submission {
 	run := &submission{}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.byID[id] = run
+	s.active[run] = struct{}{}
 	return run
 }
 
-// get returns the run in progress of an invocation, or nil if there is none.
+// get returns the run of an invocation that can be cancelled, or nil if there is none.
 func (s *runSet) get(id string) *submission {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.byID[id]
 }
 
-// remove removes the run of an invocation.
+// remove removes the run of an invocation from those that can be cancelled. It remains active.
 func (s *runSet) remove(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.byID, id)
 }
+
+// end ends a run: nothing of it is left to do.
+func (s *runSet) end(run *submission) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.active, run)
+}
+
+// activeCount returns the number of active runs.
+func (s *runSet) activeCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.active)
+}
