No deferred call is started after SIGTERM

Cause: nothing told the scheduler, and the process waited for calls in flight, each of which made room for another.

Change: Executor.StopScheduling at the signal; runSet begins no run from then on. A run counts as active until its outcome is stored (InProgress), so that an outcome that came in time is kept and told. The tickets that did not run stay on record.

--- a/cmd/dispatcher/drain.go
+++ b/cmd/dispatcher/drain.go
@@ -10,7 +10,7 @@
 // drainPollInterval is the time between two checks for work in progress and open client connections.
 const drainPollInterval = 5 * time.Millisecond
 
-// drain shuts the service down gracefully, as s.drainState schedules it. The program still
+// drain shuts the service down gracefully, as s.drainState schedules it. No further deferred call is started. The program still
 // accepts new connections and all requests for the time that the schedule's AcceptAllFor gives. Then drain closes the listener for
 // clients, and waits until everything in progress has ended and the frontend has closed all client connections. Finally drain
 // stops the invoke API, which answers what still waits, and logs the metrics.
@@ -19,6 +19,9 @@
 	terminatedAt := time.Now()
 	s.drainState.Terminate(terminatedAt)
 	schedule := s.drainState.Termination()
+	if s.invoke != nil {
+		s.invoke.executor.StopScheduling()
+	}
 	time.Sleep(schedule.AcceptAllFor)
 	s.listener.Close()
 	s.awaitWork(terminatedAt.Add(schedule.AnswerBy))
--- a/cmd/dispatcher/termination_test.go
+++ b/cmd/dispatcher/termination_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -211,3 +212,46 @@
 	require.NoError(t, fakes.Receive(t, s.service.runErr))
 	assert.Less(t, time.Since(terminatedAt), earliestKill)
 }
+
+// Deferred calls that have not run at SIGTERM stay on record and are not started any more. The run in flight gets its outcome, and
+// its poll is answered with it.
+func TestDeferredCallsAreNotStartedAfterSIGTERM(t *testing.T) {
+	s := newTerminationTest(t)
+	const deferred = 40
+	tickets := make([]string, deferred)
+	for i := range tickets {
+		accepted := fakes.Receive(t, s.device().send(http.MethodPost, bookInvocations, fmt.Sprintf(`"slot %d"`, i), "Prefer", "respond-async"))
+		require.Equal(t, http.StatusAccepted, accepted.status)
+		tickets[i] = accepted.location
+	}
+	var inFlight []*fakes.Call
+	require.Eventually(t, func() bool {
+		select {
+		case call := <-s.worker.Calls:
+			inFlight = append(inFlight, call)
+		default:
+		}
+		return len(inFlight) > 0 && len(s.worker.Calls) == 0
+	}, waitTimeout, 50*time.Millisecond)
+	require.Less(t, len(inFlight), deferred)
+	polls := make([]<-chan deviceResponse, deferred)
+	for i, ticket := range tickets {
+		polls[i] = s.device().send(http.MethodGet, ticket, "", "Prefer", "wait=12")
+	}
+	terminatedAt := time.Now()
+	require.NoError(t, signalSelf(syscall.SIGTERM))
+	time.Sleep(100 * time.Millisecond)
+	for _, call := range inFlight {
+		call.AnswerOK(`"booked"`)
+	}
+	statuses := map[int]int{}
+	for _, poll := range polls {
+		response := fakes.Receive(t, poll)
+		require.NoError(t, response.err)
+		statuses[response.status]++
+	}
+	require.NoError(t, fakes.Receive(t, s.service.runErr))
+	assert.Less(t, time.Since(terminatedAt), earliestKill)
+	assert.Equal(t, map[int]int{http.StatusOK: len(inFlight), http.StatusAccepted: deferred - len(inFlight)}, statuses)
+	assert.Empty(t, s.worker.Calls, "a run was started after SIGTERM")
+}
--- a/internal/drain/state.go
+++ b/internal/drain/state.go
@@ -117,8 +117,8 @@
 	return action
 }
 
-// Times holds when the steps of the drains in progress are due. With two drains in progress, a step is due at the
-// earlier of its two times.
+// Times holds when the steps of the drains in progress are due. With two drains in progress, a step is due at
+// the earlier of its two times.
 type Times struct {
 	RejectFrom time.Time // from then on, requests are no longer accepted
 	AnswerBy   time.Time // all accepted requests have been answered
--- a/internal/invocation/executor/executor.go
+++ b/internal/invocation/executor/executor.go
@@ -113,6 +113,10 @@
 // them.
 func (e *Executor) Clock() *monotonic.Clock { return e.clock }
 
+// StopScheduling starts no further runs of deferred invocations, for the rest of the program's run. They stay in the store, and the
+// next start of the program takes them up. Runs in flight go on, and foreground invocations are not affected.
+func (e *Executor) StopScheduling() { e.runs.stop() }
+
 // InProgress returns the number of runs and foreground invocations that have begun and whose outcome is not stored yet.
 func (e *Executor) InProgress() int { return e.runs.activeCount() + e.foreground.count() }
 
--- a/internal/invocation/executor/run.go
+++ b/internal/invocation/executor/run.go
@@ -19,9 +19,12 @@
 	maxRetryAfter = time.Minute
 )
 
-// startRun executes a StartRun action of the scheduler.
+// startRun executes a StartRun action of the scheduler. It does nothing after StopScheduling: the invocation stays in the store.
 func (e *Executor) startRun(id string) {
 	run := e.runs.begin(id)
+	if run == nil {
+		return
+	}
 	inv, err := e.prepareRun(id)
 	if err != nil {
 		e.runs.remove(id)
--- a/internal/invocation/executor/run_set.go
+++ b/internal/invocation/executor/run_set.go
@@ -4,16 +4,27 @@
 
 // runSet holds the runs of deferred invocations. It is safe for concurrent use.
 type runSet struct {
-	mu     sync.Mutex
-	byID   map[string]*submission   // runs that can be cancelled, by invocation ID
-	active map[*submission]struct{} // runs that have begun and whose outcome is not stored yet
+	mu      sync.Mutex
+	stopped bool
+	byID    map[string]*submission   // runs that can be cancelled, by invocation ID
+	active  map[*submission]struct{} // runs that have begun and whose outcome is not stored yet
 }
 
-// begin adds a run of an invocation.
+// stop prevents runs from beginning.
+func (s *runSet) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+}
+
+// begin adds a run of an invocation. It returns nil if no run may begin any more.
 func (s *runSet) begin(id string) *submission {
 	run := &submission{}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.stopped {
+		return nil
+	}
 	s.byID[id] = run
 	s.active[run] = struct{}{}
 	return run
