The end of the program waits for each connection from the start of its close

Seen: the race detector stopped TestIncompleteRequestsDoNotDelayTheEnd (1 of 1 run of its package, 1 of 20 runs alone, arm64).

Cause: since EndWaits closes unused connections from timers, linger.Group.Close may run beside Group.Wait. Close ended the read of the connection first and counted the close afterwards, so the HTTP server could see the connection's end, finish its shutdown and wait for a group that did not count it yet: the program could end before the bytes were delivered. A WaitGroup allows no such order either.

Change: Group counts a connection before its close can be noticed, with a counter of its own under a lock.

Before: TestWaitCountsAConnectionFromTheStartOfClose failed, Wait returned at once. It passes now.

--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -71,25 +71,59 @@
 }
 
 // Group closes connections in the background. Its zero value is ready for use, by several goroutines.
-type Group struct{ closing sync.WaitGroup }
+type Group struct {
+	mu      sync.Mutex
+	closing int           // connections that are being closed
+	none    chan struct{} // closed when closing falls to 0; nil if nobody waits for that
+}
 
 // Listener returns a listener whose connections are closed in the background. Once Close is called, Read fails: a request that
 // arrives later stays without effect.
 func (g *Group) Listener(ln net.Listener) net.Listener { return groupListener{ln, g} }
 
-// Wait waits until the connections on which Close was called are closed, or until ctx is done.
+// Wait waits until the connections on which Close was called are closed, or until ctx is done. Close may be called meanwhile.
 func (g *Group) Wait(ctx context.Context) {
-	closed := make(chan struct{})
-	go func() {
-		g.closing.Wait()
-		close(closed)
-	}()
 	select {
-	case <-closed:
+	case <-g.noneClosing():
 	case <-ctx.Done():
 	}
 }
 
+// noneClosing returns a channel that is closed as soon as no connection is being closed.
+func (g *Group) noneClosing() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.none == nil {
+		g.none = make(chan struct{})
+	}
+	none := g.none
+	g.signalLocked()
+	return none
+}
+
+// begin counts a connection as being closed.
+func (g *Group) begin() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closing++
+}
+
+// end ends the count of a connection by begin.
+func (g *Group) end() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closing--
+	g.signalLocked()
+}
+
+// signalLocked wakes those who wait if no connection is being closed.
+func (g *Group) signalLocked() {
+	if g.closing == 0 && g.none != nil {
+		close(g.none)
+		g.none = nil
+	}
+}
+
 type groupListener struct {
 	net.Listener
 	group *Group
@@ -119,12 +153,18 @@
 	return n, err
 }
 
-// Close starts to close the connection. It returns nil, and has no effect after the first call.
+// Close starts to close the connection. It returns nil, and has no effect after the first call. The group counts the connection
+// before its user can notice the close: the server may call Wait as soon as its goroutine for the connection has returned.
 func (c *groupConn) Close() error {
+	c.group.begin()
 	if c.closing.Swap(true) {
+		c.group.end()
 		return nil
 	}
 	c.Conn.SetReadDeadline(time.Now()) // ends a Read in progress
-	c.group.closing.Go(func() { c.Conn.Close() })
+	go func() {
+		defer c.group.end()
+		c.Conn.Close()
+	}()
 	return nil
 }
--- a/internal/linger/linger_test.go
+++ b/internal/linger/linger_test.go
@@ -78,3 +78,52 @@
 	group.Wait(ctx)
 	assert.Error(t, ctx.Err())
 }
+
+// waitingConn is a connection on which, while Close ends its reads, the server that used it waits for the group.
+type waitingConn struct {
+	net.Conn
+	group   *linger.Group
+	waited  chan error // gets the error of the context of Wait: nil if Wait has returned before
+	release chan bool  // closed to let the connection close
+}
+
+func (c *waitingConn) SetReadDeadline(time.Time) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	c.group.Wait(ctx)
+	c.waited <- ctx.Err()
+	return nil
+}
+
+func (c *waitingConn) Close() error {
+	<-c.release
+	return c.Conn.Close()
+}
+
+// oneConnListener is a listener that accepts one connection again and again.
+type oneConnListener struct {
+	net.Listener
+	conn net.Conn
+}
+
+func (l oneConnListener) Accept() (net.Conn, error) { return l.conn, nil }
+
+// Guards against an end of the program before the close of a connection: a server has ended its reads and waits for the group before
+// Close, which another goroutine has called, returns.
+func TestWaitCountsAConnectionFromTheStartOfClose(t *testing.T) {
+	group := &linger.Group{}
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	conn := &waitingConn{Conn: ours, group: group, waited: make(chan error, 1), release: make(chan bool)}
+	accepted, err := group.Listener(oneConnListener{conn: conn}).Accept()
+	require.NoError(t, err)
+	require.NoError(t, accepted.Close())
+	assert.ErrorIs(t, <-conn.waited, context.DeadlineExceeded, "Wait has returned before the connection was closed")
+	close(conn.release)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	group.Wait(ctx)
+	require.NoError(t, ctx.Err())
+	_, err = theirs.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+}
