No call of the invoke API is sent after its device has left

Cause: the departure of a device ended its call only if the call was ephemeral: idempotent and without a key. Every other call went on as if it were owed, though nobody waited for it and nobody had been told of it.

Change: a call is given up when its last waiting client has left and nobody was told its ticket (executor/departure.go). Without a key, or if it is idempotent, it is cancelled. A reserva with a key is abandoned (dispatch.Handle.Abandon): what is unwritten is never written, an attempt that was written goes on to its outcome, which is stored for the repeat. A call that did not run sets its key free. permit.StartConditions.ClientGone decides for both frontends, up to the first byte. The wait for a call no longer takes the lock that is held while its start is stored: with a slow disk a departure was noticed too late.

--- a/cmd/dispatcher/helpers_test.go
+++ b/cmd/dispatcher/helpers_test.go
@@ -110,6 +110,16 @@
 	require.NoError(t, os.WriteFile(path, []byte(text+look), 0o600))
 }
 
+// setLoadTime sets the typical load time of all functions in an operator's file. The balancer does not rely on a worker whose loads
+// take many times as long.
+func setLoadTime(t *testing.T, path, loadTime string) {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	require.NoError(t, err)
+	text := strings.ReplaceAll(string(data), `load = "10ms"`, `load = "`+loadTime+`"`)
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+}
+
 // service is the program's service, which runs within the process of the test.
 type service struct {
 	configPath string
--- a/cmd/dispatcher/termination_test.go
+++ b/cmd/dispatcher/termination_test.go
@@ -113,6 +113,8 @@
 func newTerminationTest(t *testing.T) *terminationTest {
 	worker, authority := fakes.NewWorker(t), fakes.NewAuthority(t)
 	invokeFile, url := writeInvokeFile(t, authority)
+	addLookFunction(t, invokeFile)
+	setLoadTime(t, invokeFile, "1s")
 	s := newService(t, newIdleDiscovery(t), worker)
 	adminAddr := freeAddress(t)
 	s.rewriteConfig(t, func(text string) string {
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -141,7 +141,7 @@
 		Deadline:  a.deadline,
 		StartBy:   a.startBy,
 		LeaseEnd:  c.leaseEnd(a.workerID),
-		Abandoned: r.handle.finished.Load,
+		Abandoned: r.handle.mayNotStart,
 	}
 	pending, err := e.pool.Call(outgoing, func(result worker.Result) {
 		c.post(attemptEnded{attempt: a, result: result})
@@ -195,6 +195,7 @@
 	if result.Status == balancer.OK {
 		c.answer(r, call.Answer{Outcome: call.Served, Body: result.Body})
 	}
+	c.closeIfAbandoned(r)
 	c.removeIfDone(r)
 	c.notifyBalancer(balancer.OutcomeEvent{
 		ID:         r.id,
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -106,11 +106,15 @@
 
 // Handle identifies an accepted call. It is used to cancel the call.
 type Handle struct {
-	core     *Core
-	id       balancer.RequestID // used only by the goroutine of Run; 0 until the call has been taken from the queue
-	finished atomic.Bool        // the call is answered or cancelled: no attempt of it may start any more
+	core      *Core
+	id        balancer.RequestID // used only by the goroutine of Run; 0 until the call has been taken from the queue
+	finished  atomic.Bool        // the call is answered or cancelled: no attempt of it may start any more
+	abandoned atomic.Bool        // set by Abandon: no attempt of the call may start any more
 }
 
+// mayNotStart reports whether no attempt of the call may start any more.
+func (h *Handle) mayNotStart() bool { return h.finished.Load() || h.abandoned.Load() }
+
 // Submit accepts a call, which may start at once. If it returns ErrOverloaded, the call was not accepted and its Done is
 // not called.
 func (c *Core) Submit(submitted *call.Call) (*Handle, error) {
@@ -153,6 +157,14 @@
 	h.core.post(callCancelled{handle: h})
 }
 
+// Abandon ends the call because its client no longer waits, but keeps the outcome of an attempt that may have run. Once Abandon
+// has returned, no attempt of the call starts. Attempts that were written go on, and Done gets the call's outcome when they have
+// ended: Rejected if none of them ran, at once if none was written.
+func (h *Handle) Abandon() {
+	h.abandoned.Store(true)
+	h.core.post(callAbandoned{handle: h})
+}
+
 // UpdateEndpoints queues a full endpoint list or a change of the list for the event loop.
 func (c *Core) UpdateEndpoints(update discovery.Update) {
 	c.post(endpointsUpdated{update: update})
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -25,6 +25,8 @@
 	}
 	// callCancelled means that a call was cancelled because its client no longer waits.
 	callCancelled struct{ handle *Handle }
+	// callAbandoned means that the client of a call has left, and that the outcome of its written attempts is still wanted.
+	callAbandoned struct{ handle *Handle }
 	// attemptPrepared means that BeforeFirstAttempt has returned err; the attempt can be sent if err is nil.
 	attemptPrepared struct {
 		attempt *attempt
@@ -64,6 +66,7 @@
 
 func (callSubmitted) dispatchEvent()      {}
 func (callCancelled) dispatchEvent()      {}
+func (callAbandoned) dispatchEvent()      {}
 func (attemptPrepared) dispatchEvent()    {}
 func (attemptEnded) dispatchEvent()       {}
 func (loadEnded) dispatchEvent()          {}
@@ -124,6 +127,8 @@
 		c.accept(e.call, e.handle)
 	case callCancelled:
 		c.cancelRequest(e.handle)
+	case callAbandoned:
+		c.abandonRequest(e.handle)
 	case attemptPrepared:
 		c.onAttemptPrepared(e.attempt, e.err)
 	case attemptEnded:
--- a/internal/dispatch/permits.go
+++ b/internal/dispatch/permits.go
@@ -44,7 +44,7 @@
 	r := a.request
 	start := permit.StartConditions{
 		Worker:     c.endpointState(a.workerID),
-		ClientGone: r.handle.finished.Load(),
+		ClientGone: r.handle.mayNotStart(),
 		TimeLeft:   time.Until(a.deadline),
 		LeaseLeft:  c.leaseLeft(a.workerID, time.Now()),
 	}
--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -10,6 +10,7 @@
 	"kitefall/internal/call"
 	"kitefall/internal/logthrottle"
 	"kitefall/internal/metrics"
+	"kitefall/internal/worker"
 )
 
 // notServedLog throttles the log line for calls that were answered without being served: an overload can cause any number.
@@ -27,6 +28,7 @@
 	attempts        []*attempt // indexed by attempt.number
 	pendingAttempts int        // number of pending attempts, that is, of attempts that have not ended
 	prepared        bool       // BeforeFirstAttempt has succeeded or is not set
+	abandoned       bool       // its client has left: it is closed once no attempt is pending
 	closed          bool       // answered, or cancelled by its client
 	fallbackTimer   *timer     // fires answerOverdue, if the balancer has not answered by then
 }
@@ -112,6 +114,36 @@
 	c.notifyBalancer(balancer.ClientGoneEvent{ID: r.id})
 }
 
+// abandonRequest ends the attempts of an abandoned call that are not written, and closes its request if no other is pending.
+func (c *Core) abandonRequest(handle *Handle) {
+	r := c.requests[handle.id]
+	if r == nil || r.closed {
+		return
+	}
+	r.abandoned = true
+	for _, a := range r.attempts {
+		unwritten := a.state == attemptPreparing || a.state == attemptInFlight && a.pool.CancelUnwritten(a.pending)
+		if unwritten {
+			c.endAttempt(a, worker.Result{Status: balancer.NotSent})
+		}
+	}
+	c.closeIfAbandoned(r)
+}
+
+// closeIfAbandoned closes an abandoned request and reports its outcome, once no attempt is pending.
+func (c *Core) closeIfAbandoned(r *request) {
+	if !r.abandoned || r.closed || r.pendingAttempts > 0 {
+		return
+	}
+	outcome := call.Answer{Outcome: call.Rejected, MayHaveRun: r.mayHaveRun()}
+	if outcome.MayHaveRun {
+		outcome.Outcome = call.Failed
+	}
+	c.close(r)
+	c.notifyBalancer(balancer.ClientGoneEvent{ID: r.id})
+	r.call.Done(outcome)
+}
+
 // onAnswerOverdue answers a request as failed because the balancer has not answered it in time.
 func (c *Core) onAnswerOverdue(r *request) {
 	if r.closed {
--- a/internal/fakes/worker.go
+++ b/internal/fakes/worker.go
@@ -48,6 +48,7 @@
 	callCounts     map[string]int  // number of calls of loaded functions, by body
 	loaded         map[string]bool // by function; nil: every function is loaded
 	loadOrderTimes []time.Time     // when each load order was received
+	heldLoads      chan *Call      // load orders that the test answers; nil: they are answered immediately
 }
 
 // NewWorker starts a worker that accepts connections until StopListening is called or the test ends.
@@ -118,10 +119,22 @@
 	return true
 }
 
-// handleLoadOrder loads the function of a load order and answers that one copy is loaded.
+// handleLoadOrder passes a load order to the test if load orders are held. Otherwise it finishes the load.
 func (w *Worker) handleLoadOrder(order *Call) {
 	w.mu.Lock()
 	w.loadOrderTimes = append(w.loadOrderTimes, time.Now())
+	held := w.heldLoads
+	w.mu.Unlock()
+	if held != nil {
+		held <- order
+		return
+	}
+	w.FinishLoad(order)
+}
+
+// FinishLoad loads the function of a load order and answers that one copy is loaded.
+func (w *Worker) FinishLoad(order *Call) {
+	w.mu.Lock()
 	if w.loaded != nil {
 		w.loaded[order.field(fieldFunction)] = true
 	}
@@ -129,6 +142,14 @@
 	order.Answer(CodeOK, fieldCopies+"=1", "")
 }
 
+// HoldLoadOrders makes the worker pass load orders to the returned channel. The test answers them with FinishLoad.
+func (w *Worker) HoldLoadOrders() <-chan *Call {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.heldLoads = make(chan *Call, channelCapacity)
+	return w.heldLoads
+}
+
 // UnloadAll unloads all functions. Until a load order loads a function again, its calls are answered with a miss.
 func (w *Worker) UnloadAll() {
 	w.mu.Lock()
--- a/internal/invocation/executor/executor.go
+++ b/internal/invocation/executor/executor.go
@@ -10,6 +10,8 @@
 //   - An invocation with an Idempotency-Key is stored before its outcome is returned to a client, and before a client is told
 //     that it is in progress.
 //   - An idempotent invocation without a key is never stored.
+//
+// A foreground invocation that no client waits for any more is given up, unless a client was told its ID (see departure.go).
 package executor
 
 import (
@@ -83,6 +85,7 @@
 	ctx        context.Context // cancelled by Close
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
+	closing    sync.RWMutex // held for writing while Close cancels ctx, and for reading by spawn
 }
 
 // New returns an executor that runs the invocations of a store, with the given configuration of the scheduler. Recover
@@ -123,11 +126,23 @@
 // Close stops the executor's goroutines, waits until they have returned and closes the store. Stored invocations that
 // have not completed are recovered at the next start of the program.
 func (e *Executor) Close() error {
+	e.closing.Lock()
 	e.cancel()
+	e.closing.Unlock()
 	e.goroutines.Wait()
 	return e.store.Close()
 }
 
+// spawn runs a function on a new goroutine, unless the executor is closed. Unlike goroutines.Go, it may be called while or after
+// Close is called.
+func (e *Executor) spawn(run func()) {
+	e.closing.RLock()
+	defer e.closing.RUnlock()
+	if e.ctx.Err() == nil {
+		e.goroutines.Go(run)
+	}
+}
+
 // waitToRetryStore waits for storeRetryDelay and returns true. If the executor is closed first, it returns false at
 // once.
 func (e *Executor) waitToRetryStore() bool {
--- a/internal/invocation/executor/foreground.go
+++ b/internal/invocation/executor/foreground.go
@@ -17,21 +17,29 @@
 type foregroundInvocation struct {
 	id          string
 	tenant      string
+	idempotent  bool
+	keyed       bool // the request has an Idempotency-Key
 	reservation *keyReservation
 	completed   chan struct{} // closed once the outcome may be returned to clients
 	submission  submission
+	clients     foregroundClients
 
 	mu         sync.Mutex // guards the following; held during store writes, so that transitions are serialized
 	invocation *invocation.Invocation
 	stored     bool
+	discarded  bool // completed because its clients have left, without an outcome of use to anybody
 	result     []byte
 	err        error // set if the outcome could not be stored and there is no result to return in its place
 }
 
+// newForeground returns a foreground invocation with one waiting client.
 func newForeground(inv *invocation.Invocation, reservation *keyReservation) *foregroundInvocation {
 	return &foregroundInvocation{
 		id:          inv.ID,
 		tenant:      inv.Tenant,
+		idempotent:  inv.Idempotent,
+		keyed:       inv.IdempotencyKey != "",
+		clients:     foregroundClients{waiting: 1},
 		reservation: reservation,
 		completed:   make(chan struct{}),
 		invocation:  inv,
@@ -63,6 +71,23 @@
 	return fg.view(), nil
 }
 
+// isCompleted reports whether clients may get the outcome.
+func (fg *foregroundInvocation) isCompleted() bool {
+	select {
+	case <-fg.completed:
+		return true
+	default:
+		return false
+	}
+}
+
+// wasDiscarded reports whether the invocation was completed because its clients had left.
+func (fg *foregroundInvocation) wasDiscarded() bool {
+	fg.mu.Lock()
+	defer fg.mu.Unlock()
+	return fg.discarded
+}
+
 func (fg *foregroundInvocation) failure() error {
 	fg.mu.Lock()
 	defer fg.mu.Unlock()
@@ -143,6 +168,9 @@
 			return View{}, err
 		}
 	}
+	if fg.stored {
+		fg.clients.setTold()
+	}
 	return fg.viewLocked(), nil
 }
 
@@ -179,7 +207,10 @@
 	input := inputFor(answer)
 	for {
 		failpoint.Hit("before-end")
-		err := e.stepForeground(fg, input, answer.Body)
+		completed, err := e.completeAbandoned(fg, answer)
+		if !completed && err == nil {
+			err = e.stepForeground(fg, input, answer.Body)
+		}
 		if err == nil || e.completeUnstored(fg, input, answer, err) {
 			failpoint.Hit("after-end")
 			e.releaseForeground(fg)
@@ -235,9 +266,7 @@
 	if err != nil {
 		return View{}, err
 	}
-	if handle := fg.submission.markCancelled(); handle != nil {
-		handle.Cancel()
-	}
+	e.cancelCall(fg)
 	e.releaseForeground(fg)
 	return fg.view(), nil
 }
--- a/internal/invocation/executor/harness_test.go
+++ b/internal/invocation/executor/harness_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/crc32"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -180,11 +181,13 @@
 	return <-count
 }
 
-// faultyDisk is a disk on which writes to files fail with errDiskFull while full is set.
+// faultyDisk is a disk on which writes to files fail with errDiskFull while full is set, and wait while it is held.
 type faultyDisk struct {
 	wal.OSFileSystem
 	full     atomic.Bool
 	failures atomic.Int64 // writes that have failed
+	waiting  atomic.Int64 // writes that wait
+	held     sync.RWMutex // locked by the test to hold all writes
 }
 
 var errDiskFull = errors.New("no space left on device")
@@ -205,6 +208,10 @@
 }
 
 func (f faultyFile) WriteAt(data []byte, offset int64) (int, error) {
+	f.disk.waiting.Add(1)
+	f.disk.held.RLock()
+	f.disk.held.RUnlock() //lint:ignore SA2001 waits while the disk is held
+	f.disk.waiting.Add(-1)
 	if f.disk.full.Load() {
 		f.disk.failures.Add(1)
 		return 0, errDiskFull
--- a/internal/invocation/executor/invoke.go
+++ b/internal/invocation/executor/invoke.go
@@ -38,7 +38,7 @@
 	case err != nil:
 		return View{}, err
 	case holder != nil && holder.foreground != nil:
-		return e.waitRecorded(ctx, holder.foreground)
+		return e.joinForeground(ctx, holder.foreground, request)
 	case holder != nil:
 		return e.Wait(ctx, request.Tenant, holder.storedID)
 	}
@@ -63,6 +63,17 @@
 	return e.waitForeground(ctx, fg, inv.Ephemeral)
 }
 
+// joinForeground waits for the outcome of a foreground invocation that holds the key of a request. If that invocation is discarded
+// because all its clients had left before, the request is run in its place.
+func (e *Executor) joinForeground(ctx context.Context, fg *foregroundInvocation, request invocation.Request) (View, error) {
+	fg.clients.join()
+	view, err := e.waitForeground(ctx, fg, false)
+	if err == nil && ctx.Err() == nil && fg.wasDiscarded() {
+		return e.Invoke(ctx, request)
+	}
+	return view, err
+}
+
 // checkLimits fails if an invocation that will have to be stored could not be stored now, so that it does not run first.
 func (e *Executor) checkLimits(inv *invocation.Invocation) error {
 	if inv.Ephemeral {
@@ -80,7 +91,8 @@
 		coreCall.BeforeFirstAttempt = func() error { return e.persistForegroundStart(fg) }
 	}
 	coreCall.Done = func(answer call.Answer) {
-		e.feeder.send(schedule.ForegroundEvent{Rejected: answer.Outcome == call.Rejected})
+		rejected := answer.Outcome == call.Rejected && !fg.clients.haveLeft()
+		e.feeder.send(schedule.ForegroundEvent{Rejected: rejected})
 		if inv.Ephemeral { // never stored, so the dispatcher's goroutine does not wait for the disk
 			e.completeForeground(fg, answer)
 			return
@@ -97,26 +109,26 @@
 	}
 }
 
-// waitForeground waits until a foreground invocation has completed or ctx is done. An ephemeral invocation is cancelled
-// when ctx is done, since no client can look it up later.
+// waitForeground waits, as one of the clients of a foreground invocation, until it has completed or ctx is done. A client that must be
+// answered before is told where to look up the invocation, which is stored for this. An ephemeral one cannot be looked up, and is
+// cancelled. For a client that has left, waitForeground fails with the cause of ctx, without waiting for the store; the last one to
+// leave gives the invocation up.
 func (e *Executor) waitForeground(ctx context.Context, fg *foregroundInvocation, ephemeral bool) (View, error) {
-	if !ephemeral {
-		return e.waitRecorded(ctx, fg)
+	defer e.leaveForeground(fg)
+	select {
+	case <-fg.completed:
+	case <-ctx.Done():
+		if !MustAnswer(ctx) {
+			return View{}, context.Cause(ctx)
+		}
 	}
 	view, err := fg.wait(ctx)
-	incomplete := view.Invocation != nil && view.State != invocation.StateCompleted
-	if incomplete && ctx.Err() != nil {
+	switch {
+	case err != nil || view.State == invocation.StateCompleted:
+		return view, err
+	case ephemeral:
 		return e.cancelForeground(fg)
-	}
-	return view, err
-}
-
-// waitRecorded waits until a foreground invocation has completed or ctx is done. An invocation that has not completed when its
-// client must be answered is stored, since the client is then told where to look it up.
-func (e *Executor) waitRecorded(ctx context.Context, fg *foregroundInvocation) (View, error) {
-	view, err := fg.wait(ctx)
-	if err == nil && view.State != invocation.StateCompleted && MustAnswer(ctx) {
+	default:
 		return e.recordForeground(fg)
 	}
-	return view, err
 }
--- a/internal/invocation/executor/submission.go
+++ b/internal/invocation/executor/submission.go
@@ -23,6 +23,14 @@
 	return s.cancelled
 }
 
+// currentHandle returns the dispatcher's handle, or nil if there is none: the dispatcher has not returned it yet, or has rejected the
+// call.
+func (s *submission) currentHandle() *dispatch.Handle {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.handle
+}
+
 // markCancelled marks the call as cancelled and returns its handle, which is nil if the dispatcher has not returned it
 // yet.
 func (s *submission) markCancelled() *dispatch.Handle {
--- a/internal/invocation/executor/submit.go
+++ b/internal/invocation/executor/submit.go
@@ -11,8 +11,8 @@
 
 // Submit stores a request as a deferred invocation, which runs when the scheduler starts it. If the request's
 // Idempotency-Key already belongs to another invocation, Submit stores no invocation for it and returns that invocation in its
-// current state. A foreground invocation with the key is stored first, if it has not completed. It fails with ErrNotFound for an unknown function, with ErrKeyReused, and with the errors of
-// store.Create.
+// current state. A foreground invocation with the key is stored first, if it has not completed. Submit fails with ErrNotFound for
+// an unknown function, with ErrKeyReused, and with the errors of store.Create.
 func (e *Executor) Submit(request invocation.Request) (View, error) {
 	request.Deferred = true
 	function, ok := e.catalog.Describe(request.Function)
@@ -24,7 +24,7 @@
 	case err != nil:
 		return View{}, err
 	case holder != nil && holder.foreground != nil:
-		return e.recordForeground(holder.foreground)
+		return e.submitRepeat(holder.foreground, request)
 	case holder != nil:
 		return e.Wait(cancelledContext, request.Tenant, holder.storedID)
 	}
@@ -45,6 +45,19 @@
 	return View{Invocation: inv, Durable: true}, nil
 }
 
+// submitRepeat stores a foreground invocation that holds the key of a deferred request, and returns it. If that invocation is discarded
+// because all its clients had left before, the request is submitted in its place.
+func (e *Executor) submitRepeat(fg *foregroundInvocation, request invocation.Request) (View, error) {
+	fg.clients.join()
+	defer e.leaveForeground(fg)
+	view, err := e.recordForeground(fg)
+	if err == nil && fg.wasDiscarded() {
+		<-fg.completed // the key is released
+		return e.Submit(request)
+	}
+	return view, err
+}
+
 // Redrive runs a dead letter again as a new invocation; see store.Redrive.
 func (e *Executor) Redrive(id string, confirmed bool, reason string) (*invocation.Invocation, error) {
 	deadLetter, err := e.store.Get(id)
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -92,6 +92,17 @@
 	return written
 }
 
+// CancelUnwritten ends a request of which nothing was written, and reports whether it did. The result of a request that it has
+// ended is not reported.
+func (p *Pool) CancelUnwritten(request *PendingRequest) (cancelled bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if request.wasWrittenLocked() {
+		return false
+	}
+	return request.conn.endRequestLocked(request)
+}
+
 // Idle reports whether no request is in flight on any connection.
 func (p *Pool) Idle() bool {
 	p.mu.Lock()
