A device that leaves behind a part of a further request is noticed over HTTP/1.1

Cause: net/http reads a connection in the background while a handler runs, but stops at the first byte of a further request, and then notices no departure. Bytes in the TLS record of the call itself do not stop it.

A device that closed only its own direction could read a 503 "cannot be put on record" for a call that a worker had: it gets a 409 that says that the call may have run.

--- a/cmd/dispatcher/departure_test.go
+++ b/cmd/dispatcher/departure_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"syscall"
@@ -28,7 +30,8 @@
 	send func(t *departureTest, class, body string) (leave func())
 }
 
-// departures are the ways of both frontends.
+// departures are the ways of both frontends. The last ones leave behind a byte of a further request, or a whole one, over HTTP/1.1. (The
+// names are short because the test's directory holds a socket, whose path may have 107 bytes.)
 var departures = []departure{
 	{"RESP, close", func(t *departureTest, class, body string) func() {
 		conn := dial(t.T, t.service.addr)
@@ -48,6 +51,43 @@
 	{"HTTP 2, key", func(t *departureTest, class, body string) func() {
 		return t.sendHTTP(true, class, body, "Idempotency-Key", body)
 	}},
+	{"next byte", func(t *departureTest, class, body string) func() {
+		conn := t.sendPipelined(httpRequest(class, body), "P")
+		return func() { conn.Close() }
+	}},
+	{"byte, reset", func(t *departureTest, class, body string) func() {
+		conn := t.sendPipelined(httpRequest(class, body), "P")
+		return func() {
+			socket := conn.NetConn().(*net.TCPConn)
+			require.NoError(t, socket.SetLinger(0))
+			socket.Close()
+		}
+	}},
+	{"same record", func(t *departureTest, class, body string) func() {
+		conn := t.sendPipelined(httpRequest(class, body) + httpRequest(class, body))
+		return func() { conn.Close() }
+	}},
+	{"next call", func(t *departureTest, class, body string) func() {
+		conn := t.sendPipelined(httpRequest(class, body), httpRequest(class, body))
+		return func() { conn.Close() }
+	}},
+}
+
+// httpRequest returns an HTTP/1.1 request that invokes the function of a class.
+func httpRequest(class, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+		invocationPath(class), len(body), body)
+}
+
+// sendPipelined sends bytes on a connection for HTTP/1.1, each text in a TLS record of its own.
+func (t *departureTest) sendPipelined(texts ...string) *tls.Conn {
+	t.Helper()
+	conn := t.dialHTTP1()
+	for _, text := range texts {
+		_, err := io.WriteString(conn, text)
+		require.NoError(t, err)
+	}
+	return conn
 }
 
 // sendClassCall sends a RESP call of a class.
--- a/cmd/dispatcher/termination_test.go
+++ b/cmd/dispatcher/termination_test.go
@@ -131,6 +131,14 @@
 
 // openIncompleteRequest sends a part of a request on a connection that stays open until the end of the test.
 func (t *terminationTest) openIncompleteRequest(part string) {
+	t.Helper()
+	_, err := io.WriteString(t.dialHTTP1(), part)
+	require.NoError(t, err)
+}
+
+// dialHTTP1 returns a device's connection to the invoke API, for HTTP/1.1. It stays open until the end of the test, unless the caller
+// closes it.
+func (t *terminationTest) dialHTTP1() *tls.Conn {
 	t.Helper()
 	config := t.authority.Client(fakes.TrustDomain + clientIdentity).Transport.(*http.Transport).TLSClientConfig.Clone()
 	config.NextProtos = []string{"http/1.1"}
@@ -139,8 +147,7 @@
 	t.Cleanup(func() { raw.Close() })
 	conn := tls.Client(raw, config)
 	require.NoError(t, conn.Handshake())
-	_, err = io.WriteString(conn, part)
-	require.NoError(t, err)
+	return conn
 }
 
 // Whatever waits at SIGTERM gets its response, and the process ends, before the earliest SIGKILL (review case 10): polls, deferred
--- a/internal/frontend/invoke/conns.go
+++ b/internal/frontend/invoke/conns.go
@@ -17,10 +17,11 @@
 	unusedTimeout time.Duration // unused connections are closed this long after they were accepted; 0: they are not
 }
 
-// trackedConn is an open connection. Its fields are guarded by the tracker's mu.
+// trackedConn is an open connection. The fields that change are guarded by the tracker's mu.
 type trackedConn struct {
 	acceptedAt time.Time
 	inUse      bool
+	observable *observableConn // nil if the connection is no TCP connection; not changed
 }
 
 // trackedConnKey is the key of a request's trackedConn in the context of the request.
@@ -30,7 +31,7 @@
 
 // connContext adds a new connection to the tracker. It is the ConnContext of the HTTP server.
 func (t *connTracker) connContext(ctx context.Context, netConn net.Conn) context.Context {
-	conn := &trackedConn{acceptedAt: time.Now()}
+	conn := &trackedConn{acceptedAt: time.Now(), observable: observableConnOf(netConn)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.conns[netConn] = conn
--- a/internal/frontend/invoke/drain.go
+++ b/internal/frontend/invoke/drain.go
@@ -93,9 +93,11 @@
 func (s *Server) limitWait(r *http.Request, until time.Time) (ctx context.Context, stop func()) {
 	limited, cancel := context.WithCancelCause(r.Context())
 	removeLimit := context.AfterFunc(s.waitLimit.Load().ctx, func() { cancel(executor.ErrAnswerNow) })
+	ignoreDeparture := s.departures.add(r, cancel)
 	ctx, cancelDeadline := context.WithDeadline(limited, until)
 	return ctx, func() {
 		cancelDeadline()
+		ignoreDeparture()
 		removeLimit()
 		cancel(nil)
 	}
--- a/internal/frontend/invoke/problem.go
+++ b/internal/frontend/invoke/problem.go
@@ -120,6 +120,10 @@
 		return newProblem(http.StatusUnprocessableEntity, "key-reused", "The Idempotency-Key belongs to another request")
 	case errors.Is(err, invocation.ErrSuperseded):
 		return rejected(0).withDetail("another call has taken the Idempotency-Key meanwhile: a repeat gets its answer")
+	case errors.Is(err, executor.ErrClientLeft): // read only by a client that has closed one direction of its connection
+		p = newProblem(http.StatusConflict, "client-left", "The connection was closed before the answer: the call may have run")
+		p.MayHaveRun = true
+		return p
 	case errors.Is(err, invocation.ErrStoreFull):
 		return rejected(quotaRetryAfter).withDetail("too many tickets are kept")
 	case errors.Is(err, invocation.ErrQuotaExceeded):
--- a/internal/frontend/invoke/server.go
+++ b/internal/frontend/invoke/server.go
@@ -39,6 +39,7 @@
 	httpServer   *http.Server
 	slots        chan struct{} // holds an element for each request in flight
 	conns        *connTracker
+	departures   departureWatch            // ends the waits of clients that have left
 	draining     atomic.Bool               // new invocations are rejected; set by Drain, cleared by Rejoin
 	waitLimit    atomic.Pointer[waitLimit] // ends the waits of all requests; replaced by Rejoin
 	forbiddenLog *logthrottle.Logger
@@ -80,7 +81,7 @@
 // Serve accepts connections on ln until Shutdown, and then returns nil. Each connection holds a descriptor of share until its
 // socket is closed.
 func (s *Server) Serve(ln net.Listener, share *descriptors.Share) error {
-	limited := netutil.LimitListener(share.Listener(linger.Deliver(ln)), s.config.MaxConns)
+	limited := netutil.LimitListener(share.Listener(observableListener{linger.Deliver(ln)}), s.config.MaxConns)
 	err := s.httpServer.ServeTLS(s.closing.Listener(limited), "", "")
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/internal/invocation/executor/invoke.go
+++ b/internal/invocation/executor/invoke.go
@@ -14,6 +14,9 @@
 // ErrAnswerNow is the cause of a context that is cancelled although its client still waits: the client must be answered at once.
 var ErrAnswerNow = errors.New("the client must be answered now")
 
+// ErrClientLeft means that a client has left before the outcome of its request was known. The request may have run.
+var ErrClientLeft = errors.New("the client has left")
+
 // MustAnswer reports whether ctx, the context of a client's request, is done while the client still waits for a response: its
 // deadline has passed, or it was cancelled with ErrAnswerNow. A context that is cancelled otherwise is that of a client that has
 // left.
@@ -22,16 +25,22 @@
 	return errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, ErrAnswerNow)
 }
 
+// clientHasLeft reports whether ctx, the context of a client's request, is done because the client has left.
+func clientHasLeft(ctx context.Context) bool { return ctx.Err() != nil && !MustAnswer(ctx) }
+
 // Invoke runs a request at once, as a foreground invocation. It returns the invocation once it has completed, or in its
 // current state when ctx is done. If the request's Idempotency-Key already belongs to another invocation, Invoke runs
-// nothing and waits for that invocation. It fails with ErrNotFound for an unknown function, with ErrKeyReused, with ErrStorage,
-// and with ErrQuotaExceeded or ErrStoreFull if the invocation cannot be stored although it would have to be.
+// nothing and waits for that invocation. It fails with ErrNotFound for an unknown function, with ErrClientLeft, with ErrKeyReused,
+// with ErrStorage, and with ErrQuotaExceeded or ErrStoreFull if the invocation cannot be stored although it would have to be.
 func (e *Executor) Invoke(ctx context.Context, request invocation.Request) (View, error) {
 	request.Deferred = false
 	coreCall, err := e.catalog.Call(&request)
 	if err != nil {
 		return View{}, invocation.ErrNotFound
 	}
+	if clientHasLeft(ctx) {
+		return View{}, ErrClientLeft
+	}
 	now := e.clock.Now()
 	own, holder, err := e.reservations.reserve(&request)
 	switch {
@@ -111,15 +120,15 @@
 
 // waitForeground waits, as one of the clients of a foreground invocation, until it has completed or ctx is done. A client that must be
 // answered before is told where to look up the invocation, which is stored for this. An ephemeral one cannot be looked up, and is
-// cancelled. For a client that has left, waitForeground fails with the cause of ctx, without waiting for the store; the last one to
+// cancelled. For a client that has left, waitForeground fails with ErrClientLeft, without waiting for the store; the last one to
 // leave gives the invocation up.
 func (e *Executor) waitForeground(ctx context.Context, fg *foregroundInvocation, ephemeral bool) (View, error) {
 	defer e.leaveForeground(fg)
 	select {
 	case <-fg.completed:
 	case <-ctx.Done():
-		if !MustAnswer(ctx) {
-			return View{}, context.Cause(ctx)
+		if clientHasLeft(ctx) {
+			return View{}, ErrClientLeft
 		}
 	}
 	view, err := fg.wait(ctx)
--- a/internal/tcpstate/tcpstate.go
+++ b/internal/tcpstate/tcpstate.go
@@ -23,6 +23,21 @@
 	return info != nil && info.State == unix.BPF_TCP_CLOSE // after only a FIN from the peer, the state is CLOSE_WAIT
 }
 
+// PeerHasClosed reports whether the peer has ended its direction of a connection, by a close or a reset, although bytes that it sent
+// before may still be unread. If the kernel does not provide the state, PeerHasClosed returns false.
+func PeerHasClosed(raw syscall.RawConn) bool {
+	info := readInfo(raw)
+	if info == nil {
+		return false
+	}
+	switch info.State {
+	case unix.BPF_TCP_CLOSE_WAIT, unix.BPF_TCP_LAST_ACK, unix.BPF_TCP_CLOSING, unix.BPF_TCP_TIME_WAIT, unix.BPF_TCP_CLOSE:
+		return true
+	default:
+		return false
+	}
+}
+
 // Delivery describes how far the bytes that were written to a connection have got. The peer's process may still have to read
 // the acknowledged ones.
 type Delivery struct {
--- a/internal/tcpstate/tcpstate_test.go
+++ b/internal/tcpstate/tcpstate_test.go
@@ -62,3 +62,33 @@
 	require.Eventually(t, func() bool { _, ok := ReadDelivery(raw); return !ok }, 10*time.Second, time.Millisecond,
 		"the connection has ended in both directions")
 }
+
+// A close of the peer is known although bytes that it has sent before are unread.
+func TestPeerHasClosed(t *testing.T) {
+	for name, reset := range map[string]bool{"close": false, "reset": true} {
+		t.Run(name, func(t *testing.T) {
+			local, remote := tcptest.Pair(t)
+			raw, err := local.SyscallConn()
+			require.NoError(t, err)
+			_, err = remote.Write([]byte("unread"))
+			require.NoError(t, err)
+			assert.False(t, PeerHasClosed(raw), "the connection is open")
+			if reset {
+				require.NoError(t, remote.(*net.TCPConn).SetLinger(0))
+			}
+			require.NoError(t, remote.Close())
+			assert.Eventually(t, func() bool { return PeerHasClosed(raw) }, 10*time.Second, time.Millisecond)
+		})
+	}
+}
+
+// The end of this side's own stream is no close of the peer.
+func TestPeerHasNotClosedAfterCloseWrite(t *testing.T) {
+	local, remote := tcptest.Pair(t)
+	require.NoError(t, local.CloseWrite())
+	_, err := io.ReadAll(remote)
+	require.NoError(t, err)
+	raw, err := local.SyscallConn()
+	require.NoError(t, err)
+	assert.False(t, PeerHasClosed(raw))
+}
