--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -149,7 +149,8 @@
 	if r.closed {
 		return
 	}
-	slog.Error("core: balancer gave no answer by the deadline", "call", r.logID())
+	slog.Error("core: balancer gave no answer by the deadline", "call", r.logID(), "class", r.call.Class,
+		"left", time.Until(r.call.Deadline).Round(time.Millisecond), "abandoned", r.abandoned, "attempts", attemptList(r.attempts))
 	c.answer(r, call.Answer{Outcome: call.Failed})
 	c.notifyBalancer(balancer.ClientGoneEvent{ID: r.id})
 }
