No attempt begins while the cancellation of its call is being stored

Callers would see: a ticket is cancelled (DELETE) while the disk is slow, and its call is sent all the same, later than 0.1 s.

Cause: Cancel stored the cancellation first and cancelled the call at the dispatcher afterwards.

Change: the call is abandoned first (submission.abandon), so that nothing of it begins and a written attempt goes on until the cancellation is stored. A foreground call that ends without a run meanwhile ends as cancelled. A run that ends like this is no rejection for the scheduler; if the cancellation cannot be stored, the deferred call is scheduled again.

--- a/internal/invocation/executor/departure.go
+++ b/internal/invocation/executor/departure.go
@@ -75,9 +75,7 @@
 	}
 	switch {
 	case !fg.idempotent && fg.keyed:
-		if handle := fg.submission.currentHandle(); handle != nil {
-			handle.Abandon() // completeForeground gets the outcome
-		}
+		fg.submission.abandon() // completeForeground gets the outcome
 	case fg.keyed:
 		// A repeat may be told the ID at this moment: the invocation then goes on. So this is decided before the call is cancelled.
 		if e.discardForeground(fg, invocation.Input{Event: invocation.EventCancel, Note: noteClientLeft}) == nil {
@@ -144,8 +142,7 @@
 // completeAbandoned completes a foreground invocation that was abandoned and did not run. Its key is free at once. It returns false if
 // completeForeground has to complete the invocation: it ran, or a client has been told its ID.
 func (e *Executor) completeAbandoned(fg *foregroundInvocation, answer call.Answer) (completed bool, err error) {
-	notRun := answer.Outcome == call.Rejected && !answer.MayHaveRun
-	if !notRun || !fg.clients.haveLeft() {
+	if !didNotRun(answer) || !fg.clients.haveLeft() {
 		return false, nil
 	}
 	input := invocation.Input{Event: invocation.EventRejected, Note: noteClientLeft} // with no RetryAfter, the key is free at once
--- a/internal/invocation/executor/foreground.go
+++ b/internal/invocation/executor/foreground.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"kitefall/internal/call"
@@ -23,6 +24,7 @@
 	completed   chan struct{} // closed once the outcome may be returned to clients
 	submission  submission
 	clients     foregroundClients
+	cancelling  atomic.Bool // its owner has cancelled it, and this may not be stored yet
 
 	mu         sync.Mutex // guards the following; held during store writes, so that transitions are serialized
 	invocation *invocation.Invocation
@@ -205,6 +207,9 @@
 // be stored is not returned to clients before it is stored, and a failure of the store is retried.
 func (e *Executor) completeForeground(fg *foregroundInvocation, answer call.Answer) {
 	input := inputFor(answer)
+	if fg.cancelling.Load() && didNotRun(answer) {
+		input = invocation.Input{Event: invocation.EventCancel}
+	}
 	for {
 		failpoint.Hit("before-end")
 		completed, err := e.completeAbandoned(fg, answer)
@@ -257,8 +262,10 @@
 }
 
 // cancelForeground cancels a foreground invocation for its owner. If the invocation has completed already, its outcome
-// does not change.
+// does not change. No attempt of the call begins any more, also while the cancellation is being stored.
 func (e *Executor) cancelForeground(fg *foregroundInvocation) (View, error) {
+	fg.cancelling.Store(true)
+	fg.submission.abandon()
 	err := e.stepForeground(fg, invocation.Input{Event: invocation.EventCancel}, nil)
 	if errors.Is(err, invocation.ErrCompleted) {
 		return fg.view(), nil
--- a/internal/invocation/executor/run.go
+++ b/internal/invocation/executor/run.go
@@ -123,6 +123,14 @@
 	return err
 }
 
+// suspendRun ends the run in progress, if any, of an invocation that is being cancelled, as far as it has not begun at a worker. If
+// the cancellation is not stored in the end, the invocation is scheduled again.
+func (e *Executor) suspendRun(id string) {
+	if run := e.runs.get(id); run != nil {
+		run.abandon()
+	}
+}
+
 // cancelRun cancels the run in progress, if any, of an invocation that has completed. If the dispatcher has not returned
 // the run's handle yet, submitRun cancels the run.
 func (e *Executor) cancelRun(id string) {
@@ -151,7 +159,7 @@
 	e.runs.remove(inv.ID)
 	defer e.runs.end(run)
 	input := inputFor(answer)
-	input.RetryAt = e.feeder.runEnded(inv.ID, input.Event, answer.RetryAfter)
+	input.RetryAt = e.endScheduledRun(inv.ID, run, answer)
 	for {
 		failpoint.Hit("before-end")
 		updated, effects, err := e.store.Apply(inv.ID, input, answer.Body, e.clock.Now())
@@ -169,6 +177,16 @@
 	}
 }
 
+// endScheduledRun reports the end of a run to the scheduler and returns when the next run may start, as feeder.runEnded does. A run
+// that suspendRun has ended says nothing of the dispatcher, and does not count.
+func (e *Executor) endScheduledRun(id string, run *submission, answer call.Answer) (nextRunAt time.Time) {
+	if run.wasAbandoned() && didNotRun(answer) {
+		e.feeder.send(schedule.RunAbortedEvent{ID: id})
+		return e.clock.Now().Add(storeRetryDelay)
+	}
+	return e.feeder.runEnded(id, inputFor(answer).Event, answer.RetryAfter)
+}
+
 // executeEffects executes the effects of the end of a run, which must be stored already.
 func (e *Executor) executeEffects(inv *invocation.Invocation, effects invocation.Effects) {
 	if effects.Has(invocation.EffectSchedule) {
@@ -179,6 +197,9 @@
 	}
 }
 
+// didNotRun reports whether no worker has run a call.
+func didNotRun(answer call.Answer) bool { return answer.Outcome == call.Rejected && !answer.MayHaveRun }
+
 // inputFor converts the dispatcher's answer to an input of the invocation's state machine.
 func inputFor(answer call.Answer) invocation.Input {
 	input := invocation.Input{
--- a/internal/invocation/executor/wait.go
+++ b/internal/invocation/executor/wait.go
@@ -57,6 +57,7 @@
 	if _, err := e.getForTenant(tenant, id); err != nil {
 		return View{}, err
 	}
+	e.suspendRun(id) // the store may be slow
 	inv, effects, err := e.store.Apply(id, invocation.Input{Event: invocation.EventCancel}, nil, e.clock.Now())
 	if errors.Is(err, invocation.ErrCompleted) {
 		return e.storedView(inv)
