The idempotency key reaches the workers; without it no keyed call is repeated

Cause: the dispatcher took the class's word that a repeat does no harm, but not the key that makes it so. The RESP frontend did not read `once`, a call had no place for a key, the frame had no `replay`, and the invoke API's Idempotency-Key went no further than its store.

Change: both keys reach each attempt's frame as `replay`, unchanged. A call of a keyed class without a key, or with one that a frame cannot hold, is treated as one that must not run twice: by permit.RetryConditions, and by the balancer, which is told (KeyMissing).

--- a/internal/balancer/attempts_test.go
+++ b/internal/balancer/attempts_test.go
@@ -54,6 +54,22 @@
 	}
 }
 
+// Guards rule 2 for requests whose class needs a key for a repeat: without one the request is not sent again once it may have run, and
+// its client is not told that a retry does no harm.
+func TestKeyedRequestWithoutAKeyIsNotRetried(t *testing.T) {
+	for _, status := range []Status{Failed, Reset, TimedOut} {
+		f := newFleet(t, testSettings(), 1)
+		f.listWorkers(6)
+		f.serve("keyed", "fn")
+		id := f.requestWithoutKey("keyed", "fn", 2*time.Second)
+		f.endAttempt(id, 0, status)
+		f.endLoads(OK)
+		if len(f.open[id].sends) != 1 || !f.failed[id] {
+			t.Errorf("status %d: %d attempts, want 1; failed %v, want true", status, len(f.open[id].sends), f.failed[id])
+		}
+	}
+}
+
 // Guards rule 2 for retries that wait for a connection: a retry could begin after the dedup window although it was
 // chosen within the window. Send.StartWithin passes on the end of the window.
 func TestKeyedRetryCarriesEndOfDedupWindow(t *testing.T) {
--- a/internal/balancer/events.go
+++ b/internal/balancer/events.go
@@ -79,6 +79,7 @@
 	LoadTime     time.Duration // approximate usual duration of a load; 0: unknown
 	WorkEstimate time.Duration // approximate time that a worker takes; 0: unknown
 	Retry        bool          // the client marked the request as a retry
+	KeyMissing   bool          // workers get no idempotency key with the request, so they cannot drop a repeat
 }
 
 // Status is the way in which an attempt or a load order ended.
--- a/internal/balancer/fleet_test.go
+++ b/internal/balancer/fleet_test.go
@@ -141,6 +141,22 @@
 	return f.lastID
 }
 
+// requestWithoutKey delivers a new request without an idempotency key, which the test fleet checks like one that must not run twice.
+func (f *testFleet) requestWithoutKey(class, function string, left time.Duration) RequestID {
+	f.t.Helper()
+	f.lastID++
+	for _, c := range f.settings.Classes {
+		if c.Name == class {
+			c.Idempotency = NotIdempotent
+			f.open[f.lastID] = &testRequest{class: c, deadline: f.now + left}
+		}
+	}
+	f.arrivals = append(f.arrivals, f.now)
+	f.event(RequestEvent{ID: f.lastID, Class: class, Function: FunctionID(function), TimeLeft: left, Concurrency: 1,
+		LoadTime: 300 * ms, KeyMissing: true})
+	return f.lastID
+}
+
 // event delivers an event and checks the balancer's actions.
 func (f *testFleet) event(e Event) {
 	f.t.Helper()
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -116,9 +116,14 @@
 }
 
 // classOf returns the class of a request. Requests of a class that the settings do not name are not
-// idempotent.
+// idempotent, and neither are those of a class that is IdempotentWithKey if they have no key.
 func (b *Balancer) classOf(e RequestEvent) *Class {
 	if class := b.classes[e.Class]; class != nil {
+		if class.Idempotency == IdempotentWithKey && e.KeyMissing {
+			keyless := *class
+			keyless.Idempotency = NotIdempotent
+			return &keyless
+		}
 		return class
 	}
 	return &Class{Name: e.Class, Weight: 1, LatencyObjective: e.TimeLeft, Deadline: e.TimeLeft,
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -4,6 +4,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -19,6 +20,14 @@
 	return err == nil && len(text) == hexIDLength
 }
 
+// MaxKeyBytes is the maximum length of an idempotency key. The fields of a frame to a worker hold 64 KiB in all.
+const MaxKeyBytes = 4 << 10
+
+// IsKey reports whether an idempotency key can be sent to workers unchanged: a comma would end its field (source: worker protocol).
+func IsKey(text string) bool {
+	return text != "" && len(text) <= MaxKeyBytes && !strings.Contains(text, ",")
+}
+
 // Call is one request to run a function. It must not be changed once it is submitted.
 type Call struct {
 	ID           uint64 // sent to the worker unchanged
@@ -30,7 +39,12 @@
 	Concurrency  int           // number of calls that one loaded copy runs at a time; 0: unknown
 	LoadTime     time.Duration // usual duration of loading a copy; 0: unknown
 	Body         []byte
-	Deadline     time.Time // answers after this time are of no use to the client
+
+	// IdempotencyKey is sent to the worker unchanged with every attempt; empty: none. In a class whose workers drop repeats with the
+	// same key, a call without a key is never repeated once it may have run. IsKey must accept it.
+	IdempotencyKey string
+
+	Deadline time.Time // answers after this time are of no use to the client
 
 	// BeforeFirstAttempt, if not nil, runs on its own goroutine before the first attempt is sent. If it returns an
 	// error, the call is rejected and never sent to a worker.
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -137,6 +137,7 @@
 		ID:        r.call.ID,
 		Class:     r.call.Class,
 		Function:  r.call.Function,
+		Key:       r.call.IdempotencyKey,
 		Body:      r.call.Body,
 		Deadline:  a.deadline,
 		StartBy:   a.startBy,
--- a/internal/dispatch/permits.go
+++ b/internal/dispatch/permits.go
@@ -19,6 +19,7 @@
 // core is counted and not executed.
 type permits struct {
 	repeatable  map[string]bool // classes whose requests may run more than once
+	keyRequired map[string]bool // those of them whose requests need an idempotency key for that
 	maxAttempts int
 	hedging     bool
 	leaseTerms  permit.LeaseTerms
@@ -28,6 +29,7 @@
 func newPermits(s balancer.Settings) permits {
 	p := permits{
 		repeatable:  map[string]bool{},
+		keyRequired: map[string]bool{},
 		maxAttempts: max(1, s.MaxAttempts),
 		hedging:     s.Hedging,
 		leaseTerms:  permit.NewLeaseTerms(s.DrainGrace),
@@ -35,6 +37,7 @@
 	}
 	for _, class := range s.Classes {
 		p.repeatable[class.Name] = class.Idempotency != balancer.NotIdempotent
+		p.keyRequired[class.Name] = class.Idempotency == balancer.IdempotentWithKey
 	}
 	return p
 }
@@ -55,6 +58,8 @@
 		Attempts:    a.number,
 		MaxAttempts: c.permits.maxAttempts,
 		Repeatable:  c.permits.repeatable[r.call.Class],
+		KeyRequired: c.permits.keyRequired[r.call.Class],
+		KeyPassed:   r.call.IdempotencyKey != "",
 		Hedging:     c.permits.hedging,
 	}
 	for _, other := range r.attempts[:a.number] {
--- a/internal/dispatch/permits_test.go
+++ b/internal/dispatch/permits_test.go
@@ -26,8 +26,10 @@
 	return c, scripted
 }
 
-func acceptCall(c *Core, class string) {
-	c.accept(&call.Call{Class: class, Function: testFunction, Deadline: time.Now().Add(time.Hour), Done: func(call.Answer) {}},
+func acceptCall(c *Core, class string) { acceptKeyedCall(c, class, "") }
+
+func acceptKeyedCall(c *Core, class, key string) {
+	c.accept(&call.Call{Class: class, IdempotencyKey: key, Function: testFunction, Deadline: time.Now().Add(time.Hour), Done: func(call.Answer) {}},
 		&Handle{core: c})
 }
 
@@ -49,6 +51,22 @@
 	assert.Len(t, scripted.outcomes(), 1, "an idempotent request may have two attempts")
 }
 
+// The same for a class whose requests may run twice because workers drop repeats of a key: without a key the second attempt is refused,
+// with a key it is sent.
+func TestRepeatWithoutAKeyIsRefused(t *testing.T) {
+	for key, want := range map[string][]balancer.Status{"": {balancer.NotSent}, "k": nil} {
+		settings := idempotentSettings()
+		settings.MaxAttempts = 3
+		settings.Hedging = true
+		settings.Classes = append(settings.Classes, balancer.Class{Name: "cambio", Idempotency: balancer.IdempotentWithKey})
+		c, scripted := newScriptedCore(t, settings, func(id balancer.RequestID) []balancer.Action {
+			return []balancer.Action{balancer.Send{ID: id, Worker: "s-1"}, balancer.Send{ID: id, Worker: "s-1"}}
+		})
+		acceptKeyedCall(c, "cambio", key)
+		assert.Equal(t, want, scripted.outcomes(), "key %q", key)
+	}
+}
+
 func TestLoadOrdersBeyondTheBudgetAreRefusedAndCounted(t *testing.T) {
 	settings := idempotentSettings()
 	settings.LoadBurst = 2
--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -85,6 +85,7 @@
 		Concurrency:  submitted.Concurrency,
 		LoadTime:     submitted.LoadTime,
 		WorkEstimate: submitted.WorkEstimate,
+		KeyMissing:   submitted.IdempotencyKey == "",
 	})
 }
 
--- a/internal/frontend/invoke/catalog.go
+++ b/internal/frontend/invoke/catalog.go
@@ -22,13 +22,20 @@
 	return executor.Function{Key: function.Key, Cost: max(function.WorkEstimate.Seconds(), minRunCost)}, true
 }
 
-// Call returns the call for one run of an invocation, with the properties that the catalog holds for its function.
+// Call returns the call for one run of an invocation, with the properties that the catalog holds for its function. A key that cannot
+// be sent to workers is left out.
 func (c *Config) Call(request *invocation.Request) (*call.Call, error) {
 	function := c.Functions[request.Function]
 	if function == nil {
 		return nil, fmt.Errorf("function %q is not in the catalog", request.Function)
 	}
+	key := request.IdempotencyKey
+	if !call.IsKey(key) {
+		key = ""
+	}
 	return &call.Call{
+		IdempotencyKey: key,
+
 		Class:        function.Class,
 		Tenant:       request.Tenant,
 		Function:     function.Key,
--- a/internal/frontend/invoke/config_test.go
+++ b/internal/frontend/invoke/config_test.go
@@ -9,6 +9,7 @@
 
 	"kitefall/internal/fakes"
 	"kitefall/internal/frontend/invoke"
+	"kitefall/internal/invocation"
 )
 
 func TestDeployedFileIsValid(t *testing.T) {
@@ -33,3 +34,15 @@
 		})
 	}
 }
+
+// Guards against changes that are applied twice because workers do not get the client's key (review case 6). A key that would end its
+// field in a frame is left out.
+func TestCallsHaveTheClientsKey(t *testing.T) {
+	config, err := invoke.ReadConfig(writeOperatorsFile(t, operatorsFile), fakes.Settings())
+	require.NoError(t, err)
+	for key, want := range map[string]string{"": "", "5c0f=6e1a": "5c0f=6e1a", "5c0f,max=1": ""} {
+		call, err := config.Call(&invocation.Request{Function: "book", IdempotencyKey: key})
+		require.NoError(t, err)
+		assert.Equal(t, want, call.IdempotencyKey)
+	}
+}
--- a/internal/frontend/resp/parse.go
+++ b/internal/frontend/resp/parse.go
@@ -84,6 +84,11 @@
 	case "key":
 		p.call.Function = value
 		_, err = parseID(name, value)
+	case "once":
+		p.call.IdempotencyKey = value
+		if value != "" && !call.IsKey(value) {
+			err = &fieldError{field: name, reason: "too long"}
+		}
 	case "cost":
 		p.call.WorkEstimate, err = parseMilliseconds(name, value, 0)
 	case "spec":
--- a/internal/permit/attempt.go
+++ b/internal/permit/attempt.go
@@ -53,12 +53,17 @@
 	MaxAttempts int  // attempts that the request may have in total
 	Pending     bool // an earlier attempt is pending, that is, has not ended
 	MayHaveRun  bool // an earlier attempt may have run, or may still run
-	Repeatable  bool // the request may run more than once
+	Repeatable  bool // the class of the request lets it run more than once
+	KeyRequired bool // the class does so only because workers drop repeats with the same idempotency key
+	KeyPassed   bool // workers get the idempotency key of the request with each attempt
 	Hedging     bool // two attempts may be pending at the same time
 }
 
 // Forbidden reports whether another attempt could run a request twice that must run at most once.
-func (r RetryConditions) Forbidden() bool { return r.MayHaveRun && !r.Repeatable }
+func (r RetryConditions) Forbidden() bool {
+	repeatable := r.Repeatable && (r.KeyPassed || !r.KeyRequired)
+	return r.MayHaveRun && !repeatable
+}
 
 // Check returns Allowed, or the reason why another attempt is refused.
 func (r RetryConditions) Check() Reason {
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -35,6 +35,10 @@
 		{RetryConditions{MaxAttempts: 2, Attempts: 2}, AttemptsExhausted},
 		{RetryConditions{MaxAttempts: 2, Attempts: 1, MayHaveRun: true}, RepeatForbidden},
 		{RetryConditions{MaxAttempts: 2, Attempts: 1, MayHaveRun: true, Repeatable: true}, Allowed},
+		{RetryConditions{MaxAttempts: 2, Attempts: 1, MayHaveRun: true, Repeatable: true, KeyRequired: true}, RepeatForbidden},
+		{RetryConditions{MaxAttempts: 2, Attempts: 1, MayHaveRun: true, Repeatable: true, KeyRequired: true, KeyPassed: true}, Allowed},
+		{RetryConditions{MaxAttempts: 2, Attempts: 1, MayHaveRun: true, KeyRequired: true, KeyPassed: true}, RepeatForbidden},
+		{RetryConditions{MaxAttempts: 2, Attempts: 1, Repeatable: true, KeyRequired: true}, Allowed},
 		{RetryConditions{MaxAttempts: 2, Attempts: 1, MayHaveRun: true, Pending: true, Repeatable: true}, AttemptPending},
 		{RetryConditions{MaxAttempts: 2, Attempts: 1, MayHaveRun: true, Pending: true, Repeatable: true, Hedging: true}, Allowed},
 	} {
--- a/internal/worker/frame.go
+++ b/internal/worker/frame.go
@@ -45,7 +45,8 @@
 const (
 	fieldClass      = "profile"
 	fieldFunction   = "thing"
-	fieldTimeLeft   = "max" // milliseconds
+	fieldTimeLeft   = "max"    // milliseconds
+	fieldKey        = "replay" // idempotency key
 	fieldCopies     = "n"
 	fieldWarmth     = "remark"
 	fieldQueueDepth = "same"
@@ -172,10 +173,15 @@
 	}, nil
 }
 
-// callFields returns the fields of a call. The time left is sent as at least 1 ms, since the protocol gives 0 no meaning.
-func callFields(class, function string, timeLeft time.Duration) string {
-	return fmt.Sprintf("%s=%s,%s=%s,%s=%d",
+// callFields returns the fields of a call. The time left is sent as at least 1 ms, since the protocol gives 0 no meaning. Without an
+// idempotency key the field for it is left out.
+func callFields(class, function, key string, timeLeft time.Duration) string {
+	fields := fmt.Sprintf("%s=%s,%s=%s,%s=%d",
 		fieldClass, class, fieldFunction, function, fieldTimeLeft, max(1, timeLeft.Milliseconds()))
+	if key != "" {
+		fields += fmt.Sprintf(",%s=%s", fieldKey, key)
+	}
+	return fields
 }
 
 // loadFields returns the fields of a load order for at least the given number of copies.
--- a/internal/worker/frame_test.go
+++ b/internal/worker/frame_test.go
@@ -45,7 +45,8 @@
 }
 
 func TestCommandFields(t *testing.T) {
-	assert.Equal(t, "profile=reserva,thing=7f3a,max=1500", callFields("reserva", "7f3a", 1500*time.Millisecond))
-	assert.Equal(t, "profile=reserva,thing=7f3a,max=1", callFields("reserva", "7f3a", -time.Second), "the deadline has passed")
+	assert.Equal(t, "profile=reserva,thing=7f3a,max=1500", callFields("reserva", "7f3a", "", 1500*time.Millisecond))
+	assert.Equal(t, "profile=cambio,thing=7f3a,max=1500,replay=5c=0f", callFields("cambio", "7f3a", "5c=0f", 1500*time.Millisecond))
+	assert.Equal(t, "profile=reserva,thing=7f3a,max=1", callFields("reserva", "7f3a", "", -time.Second), "the deadline has passed")
 	assert.Equal(t, "thing=7f3a,n=2", loadFields("7f3a", 2))
 }
--- a/internal/worker/request.go
+++ b/internal/worker/request.go
@@ -25,6 +25,7 @@
 type Attempt struct {
 	ID              uint64
 	Class, Function string
+	Key             string // idempotency key; empty: none
 	Body            []byte
 	Deadline        time.Time // the answer is of no use after this time
 	StartBy         time.Time // the attempt must not be written after this time; zero: Deadline applies
@@ -84,7 +85,7 @@
 		id:   a.ID,
 		code: codeCall,
 		encodeFields: func(now time.Time) string {
-			return callFields(a.Class, a.Function, a.Deadline.Sub(now))
+			return callFields(a.Class, a.Function, a.Key, a.Deadline.Sub(now))
 		},
 		body:      a.Body,
 		deadline:  a.Deadline,
