A store that hangs does not keep the program from ending

A long verify or compact held the end up as well.

Cause: the invoke API's close waited for the executor and its store without a bound, while everything else ends by CloseBy.

Change: the store has until CloseBy to close (closeUntil). After that the program ends, says so in the log, and the next start recovers the store as after a crash.

--- a/cmd/dispatcher/invoke.go
+++ b/cmd/dispatcher/invoke.go
@@ -172,7 +172,8 @@
 
 // close shuts down the invoke API, the control socket, the core, the identity source and the executor with its store, in
 // this order. Requests that still wait are answered at once with what is known of their invocations. Calls in flight at the core
-// remain on record, and the next start takes them up. The API's clients have until deliverBy to take their responses.
+// remain on record, and the next start takes them up. The API's clients have until deliverBy to take their responses, and the store
+// to close.
 func (s *invokeService) close(deliverBy time.Time) error {
 	ctx, cancel := context.WithDeadline(context.Background(), deliverBy)
 	defer cancel()
@@ -181,7 +182,22 @@
 	s.control.Close()
 	s.core.Stop()
 	s.identity.Close()
-	err := s.executor.Close()
+	err := closeUntil(ctx, s.executor.Close)
 	s.server.AwaitDelivery(ctx)
 	return err
 }
+
+// closeUntil calls closeStore and returns its error. If ctx is done first, it returns nil, and closeStore goes on in the background: a
+// long maintenance task or a disk that hangs must not keep the program from ending. The next start then recovers the store, as after
+// a crash.
+func closeUntil(ctx context.Context, closeStore func() error) error {
+	closed := make(chan error, 1)
+	go func() { closed <- closeStore() }()
+	select {
+	case err := <-closed:
+		return err
+	case <-ctx.Done():
+		slog.Error("tickets: the store was not closed in time, the next start recovers it")
+		return nil
+	}
+}
