The store's writer waits for a state, and no request for a checkpoint gets lost

Cause: the writer waited for a message that one function alone sent.

Change: changeCheckpointState is the one way to change what the writer waits for, and wakes it. The checkpointer writes a frozen table before it waits again, whatever has woken it. A change waits for 1 s at most (MaxBufferWait) and is then refused.

--- a/internal/durable/checkpoint.go
+++ b/internal/durable/checkpoint.go
@@ -39,19 +39,29 @@
 	}
 }
 
+// changeCheckpointState changes what waitForBufferSpace waits for, and wakes it. All changes of the fields frozen, to nil, and
+// checkpointFailed go through it.
+func (db *DB) changeCheckpointState(change func()) {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	change()
+	close(db.checkpoints)
+	db.checkpoints = make(chan struct{})
+}
+
 // runCheckpointer runs the checkpointer: until the store is closed, it writes frozen memory tables to the file, runs
-// maintenance tasks and releases mapped pages.
+// maintenance tasks and releases mapped pages. Whatever has woken it, it waits again only when no table is frozen.
 func (db *DB) runCheckpointer() {
 	releaseTicker := time.NewTicker(releaseInterval)
 	defer releaseTicker.Stop()
 	for {
+		if !db.checkpointWithRetry() {
+			return
+		}
 		select {
 		case <-releaseTicker.C:
 			db.releasePages()
 		case <-db.checkpointRequests:
-			if !db.checkpointWithRetry() {
-				return
-			}
 		case task := <-db.maintenanceTasks:
 			task.done <- task.run()
 		case <-db.closed:
@@ -60,14 +70,11 @@
 	}
 }
 
-// checkpointWithRetry repeats the checkpoint until it succeeds. It returns false if the store is closed first.
+// checkpointWithRetry repeats the checkpoint of the frozen memory table, if there is one, until it succeeds. It returns false if the
+// store is closed first.
 func (db *DB) checkpointWithRetry() bool {
 	for {
 		err := db.checkpointFrozen()
-		db.mu.Lock()
-		db.checkpointFailed = err != nil
-		db.mu.Unlock()
-		signal(db.checkpointDone)
 		if err == nil {
 			return true
 		}
@@ -88,6 +95,24 @@
 	if table == nil {
 		return nil
 	}
+	err := db.writeTable(table)
+	db.changeCheckpointState(func() {
+		db.checkpointFailed = err != nil
+		if err == nil {
+			db.frozen = nil
+			db.appliedSequence = table.lastSequence
+		}
+	})
+	return err
+}
+
+// writeTable writes a memory table to the file.
+func (db *DB) writeTable(table *memtable) error {
+	if db.injectedFault != nil {
+		if err := db.injectedFault(); err != nil {
+			return err
+		}
+	}
 	failpoint.Hit("move-before")
 	for startKey, done := "", false; !done; {
 		nextKey, err := db.checkpointChunk(table, startKey)
@@ -98,10 +123,6 @@
 		done = nextKey == ""
 	}
 	failpoint.Hit("move-after")
-	db.mu.Lock()
-	db.frozen = nil
-	db.appliedSequence = table.lastSequence
-	db.mu.Unlock()
 	return nil
 }
 
--- a/internal/durable/durable.go
+++ b/internal/durable/durable.go
@@ -34,21 +34,23 @@
 	options Options
 
 	updates            chan *update
-	checkpointRequests chan struct{}         // signals that a memory table was frozen
-	checkpointDone     chan struct{}         // signals that a checkpoint has succeeded or failed
+	checkpointRequests chan struct{}         // wakes the checkpointer: a memory table was frozen
 	maintenanceTasks   chan *maintenanceTask // run by the checkpointer between two checkpoints
 	closed             chan struct{}         // closed by Close
 	writerDone         chan struct{}         // closed when the writer has ended
 	closeOnce          sync.Once
 	goroutines         sync.WaitGroup
 
-	mu               sync.RWMutex // guards the fields up to checkpointFailed; Get and Scan also hold it while they read the file
+	mu               sync.RWMutex // guards the fields up to checkpoints; Get and Scan also hold it while they read the file
 	file             *bolt.DB
-	active           *memtable // receives the changes that the writer carries out
-	frozen           *memtable // is being written to the file; nil: none
-	memoryBuckets    memtable  // entries of the buckets that are kept only in memory
-	appliedSequence  uint64    // sequence of the last log record whose changes are all in the file
-	checkpointFailed bool      // the latest checkpoint failed
+	active           *memtable     // receives the changes that the writer carries out
+	frozen           *memtable     // is being written to the file; nil: none
+	memoryBuckets    memtable      // entries of the buckets that are kept only in memory
+	appliedSequence  uint64        // sequence of the last log record whose changes are all in the file
+	checkpointFailed bool          // the latest checkpoint failed
+	checkpoints      chan struct{} // closed, and replaced, when frozen becomes nil or checkpointFailed changes
+
+	injectedFault func() error // set by tests before the store is used: its error fails a checkpoint; nil: none
 
 	log          *wal.Log // used only by the writer, until Close; nil: the store is read-only
 	recordBuffer []byte   // reused by the writer to encode log records
@@ -63,11 +65,11 @@
 		options:            o,
 		updates:            make(chan *update, maxQueuedUpdates),
 		checkpointRequests: make(chan struct{}, 1),
-		checkpointDone:     make(chan struct{}, 1),
 		maintenanceTasks:   make(chan *maintenanceTask),
 		closed:             make(chan struct{}),
 		writerDone:         make(chan struct{}),
 		active:             &memtable{},
+		checkpoints:        make(chan struct{}),
 	}
 	for _, name := range buckets {
 		db.buckets = append(db.buckets, []byte(name))
--- a/internal/durable/options.go
+++ b/internal/durable/options.go
@@ -12,7 +12,8 @@
 	SegmentBytes       uint32        // size of a log segment
 	CheckpointBytes    int64         // size of the active memory table at which a checkpoint starts
 	CheckpointInterval time.Duration // interval at which a checkpoint starts if changes are in memory
-	MaxBufferedBytes   int64         // limit of the changes in memory; above it, updates wait for a checkpoint or fail if it fails
+	MaxBufferedBytes   int64         // limit of the changes in memory; above it, updates wait for a checkpoint or fail
+	MaxBufferWait      time.Duration // how long updates wait for a checkpoint before they fail with ErrCheckpointBehind
 	MaxGroupUpdates    int           // maximum number of updates that share one sync of the log
 	LockDeadline       time.Time     // deadline for Open's wait for another process to release the file
 	ReadOnly           bool          // nothing is written; no other process may hold the file for writing
@@ -25,6 +26,7 @@
 	defaultCheckpointBytes    = 4 << 20
 	defaultCheckpointInterval = time.Second
 	defaultMaxBufferedBytes   = 16 << 20
+	defaultMaxBufferWait      = time.Second // clients wait for 2.5 s and longer
 	defaultMaxGroupUpdates    = 512
 	defaultLockTimeout        = time.Second
 )
@@ -45,6 +47,9 @@
 	if o.MaxBufferedBytes == 0 {
 		o.MaxBufferedBytes = defaultMaxBufferedBytes
 	}
+	if o.MaxBufferWait == 0 {
+		o.MaxBufferWait = defaultMaxBufferWait
+	}
 	if o.MaxGroupUpdates == 0 {
 		o.MaxGroupUpdates = defaultMaxGroupUpdates
 	}
--- a/internal/durable/snapshot.go
+++ b/internal/durable/snapshot.go
@@ -63,10 +63,6 @@
 		return err
 	}
 	db.freeze()
-	select {
-	case <-db.checkpointRequests: // drop the request of freeze: the checkpoint is done below
-	default:
-	}
 	return db.checkpointFrozen()
 }
 
--- a/internal/durable/writer.go
+++ b/internal/durable/writer.go
@@ -131,25 +131,34 @@
 	return nil
 }
 
-// waitForBufferSpace waits for checkpoints while the changes in memory exceed MaxBufferedBytes. It stops waiting if the
-// latest checkpoint failed.
+// waitForBufferSpace waits for checkpoints while the changes in memory exceed MaxBufferedBytes, for MaxBufferWait at most: the
+// checkpointer may be busy with a maintenance task for long. It stops waiting if the latest checkpoint failed.
 func (db *DB) waitForBufferSpace() {
-	for db.checkBufferedBytes() != nil {
-		db.freeze()
-		db.mu.RLock()
-		failed := db.checkpointFailed
-		db.mu.RUnlock()
-		if failed {
+	timeout := time.NewTimer(db.options.MaxBufferWait)
+	defer timeout.Stop()
+	for {
+		failed, changed := db.checkpointState() // before the buffer is checked, so that no change is missed
+		if db.checkBufferedBytes() == nil || failed {
 			return
 		}
+		db.freeze()
 		select {
-		case <-db.checkpointDone:
+		case <-changed:
+		case <-timeout.C:
+			return
 		case <-db.closed:
 			return
 		}
 	}
 }
 
+// checkpointState reports whether the latest checkpoint failed. The channel is closed when the state of the checkpoints changes.
+func (db *DB) checkpointState() (failed bool, changed <-chan struct{}) {
+	db.mu.RLock()
+	defer db.mu.RUnlock()
+	return db.checkpointFailed, db.checkpoints
+}
+
 // checkBufferedBytes returns ErrCheckpointBehind if the changes in memory exceed MaxBufferedBytes.
 func (db *DB) checkBufferedBytes() error {
 	db.mu.RLock()
