A restore replaces no store that was begun meanwhile

Change: the rename replaces nothing (RENAME_NOREPLACE), so the restore fails where a store has come into being; Restore holds the lock of its file until the name is on the disk. Temporary files have names of their own.

--- a/internal/durable/maintenance.go
+++ b/internal/durable/maintenance.go
@@ -97,7 +97,7 @@
 	// after the rename.
 	err = bolt.Compact(compacted, db.file, compactTxBytes)
 	if err == nil {
-		err = renameDurably(temporaryPath, db.path)
+		err = renameDurably(temporaryPath, db.path, 0)
 	}
 	if err != nil {
 		compacted.Close()
--- a/internal/durable/snapshot.go
+++ b/internal/durable/snapshot.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 
 	bolt "go.etcd.io/bbolt"
+	"golang.org/x/sys/unix"
 
 	"kitefall/internal/wal"
 )
@@ -16,9 +17,12 @@
 	if exists(path) {
 		return fmt.Errorf("%s already exists", path)
 	}
-	temporaryPath := path + ".tmp"
+	temporaryPath, err := reserveTemporary(path)
+	if err != nil {
+		return err
+	}
 	defer os.Remove(temporaryPath)
-	err := db.runMaintenance(func() error {
+	err = db.runMaintenance(func() error {
 		if err := db.checkpointAll(); err != nil {
 			return err
 		}
@@ -30,16 +34,15 @@
 	if err := detachFromLog(temporaryPath); err != nil {
 		return err
 	}
-	return renameDurably(temporaryPath, path)
+	return renameDurably(temporaryPath, path, unix.RENAME_NOREPLACE)
 }
 
-// Restore creates the store at path from a snapshot. No file of that store may exist yet. Restore returns an error that
-// wraps ErrDamaged or ErrFormat if the snapshot cannot be used.
+// Restore creates the store at path from a snapshot. No file of that store may exist yet, nor come into being meanwhile. Another process
+// that opens the store at its path waits until it is whole and on the disk. Restore returns an error that wraps ErrDamaged or
+// ErrFormat if the snapshot cannot be used.
 func Restore(snapshot, path, format string) error {
-	for _, file := range append(Files(path), LogDir(path)) {
-		if exists(file) {
-			return fmt.Errorf("%s already exists: move it away first", file)
-		}
+	if err := requireNoStore(path); err != nil { // before the work; asked again after it
+		return err
 	}
 	if exists(LogDir(snapshot)) {
 		return fmt.Errorf("%s has a log directory next to it: it is a store, not a snapshot", snapshot)
@@ -48,13 +51,49 @@
 	if err != nil {
 		return err
 	}
-	temporaryPath := path + ".restore"
+	temporaryPath, err := reserveTemporary(path)
+	if err != nil {
+		return errors.Join(err, db.Close())
+	}
 	defer os.Remove(temporaryPath)
 	err = copyFile(db.file, temporaryPath)
 	if err = errors.Join(err, db.Close()); err != nil {
 		return err
 	}
-	return renameDurably(temporaryPath, path)
+	return publishStore(temporaryPath, path)
+}
+
+// requireNoStore returns an error if a file of a store at path exists.
+func requireNoStore(path string) error {
+	for _, file := range append(Files(path), LogDir(path)) {
+		if exists(file) {
+			return fmt.Errorf("%s already exists: move it away first", file)
+		}
+	}
+	return nil
+}
+
+// publishStore makes the file at temporaryPath the store at path, unless a file of a store at path exists. It holds the lock of the file
+// until the name is on the disk. A process that creates a store creates its file before its log, so that one of the two fails.
+func publishStore(temporaryPath, path string) error {
+	locked, err := openNewFile(temporaryPath)
+	if err != nil {
+		return err
+	}
+	err = requireNoStore(path)
+	if err == nil {
+		err = renameDurably(temporaryPath, path, unix.RENAME_NOREPLACE)
+	}
+	return errors.Join(err, locked.Close())
+}
+
+// reserveTemporary creates an empty file next to path, with a name of its own, and returns its path.
+func reserveTemporary(path string) (string, error) {
+	file, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*.tmp")
+	if err != nil {
+		return "", err
+	}
+	return file.Name(), file.Close()
 }
 
 // checkpointAll writes all memory tables to the file. It must be called on the checkpointer's goroutine.
@@ -86,8 +125,9 @@
 	return !errors.Is(err, os.ErrNotExist)
 }
 
-// renameDurably gives a complete file its final name. When it returns nil, the content and the name are on the disk.
-func renameDurably(from, to string) error {
+// renameDurably gives a complete file its final name. When it returns nil, the content and the name are on the disk. With the flag
+// RENAME_NOREPLACE it fails if a file of that name exists, with 0 it replaces that file (source: rename(2)).
+func renameDurably(from, to string, flags uint) error {
 	file, err := os.OpenFile(from, os.O_RDWR, 0)
 	if err != nil {
 		return err
@@ -95,8 +135,8 @@
 	if err := errors.Join(file.Sync(), file.Close()); err != nil {
 		return err
 	}
-	if err := os.Rename(from, to); err != nil {
-		return err
+	if err := unix.Renameat2(unix.AT_FDCWD, from, unix.AT_FDCWD, to, flags); err != nil {
+		return &os.LinkError{Op: "rename", Old: from, New: to, Err: err}
 	}
 	return wal.OSFileSystem{}.SyncDir(filepath.Dir(to))
 }
