A change is not refused because of one that the store did not keep

Cause: changes that are queued at the same time form a group, and each sees the earlier ones. A change that failed because of an earlier one was answered at once, though the group could still fail to be written. So the end of the run was refused with "has completed", because of the cancellation that was then rolled back, and nobody scheduled the call again.

Change: a change that fails is answered when its group is written.

--- a/internal/durable/writer.go
+++ b/internal/durable/writer.go
@@ -9,6 +9,7 @@
 // update is a change that is queued for the writer.
 type update struct {
 	change func(*Tx) error
+	err    error      // of change; used only by the writer
 	done   chan error // receives the result; buffered, so the writer never blocks on it
 }
 
@@ -51,13 +52,15 @@
 	return db.active.bytes
 }
 
-// commitGroup carries out an update and those queued behind it as one group, and writes one log record for the group.
+// commitGroup carries out an update and those queued behind it as one group, and writes one log record for the group. An update that
+// fails gets its error once the group is written: it may have failed because of a write of the group. If the group is not written,
+// all its updates fail with that error.
 func (db *DB) commitGroup(first *update) {
 	tx := &Tx{db: db, writes: map[string][]byte{}}
-	var applied []*update
+	var applied, failed []*update
 	for u := first; u != nil; u = db.nextInGroup(tx, len(applied)) {
-		if err := db.applyUpdate(tx, u); err != nil {
-			u.done <- err
+		if u.err = db.applyUpdate(tx, u); u.err != nil {
+			failed = append(failed, u)
 			continue
 		}
 		applied = append(applied, u)
@@ -69,6 +72,12 @@
 	for _, u := range applied {
 		u.done <- err
 	}
+	for _, u := range failed {
+		if err != nil {
+			u.err = err
+		}
+		u.done <- u.err
+	}
 }
 
 // nextInGroup returns the next update of a group to which applied updates belong so far. It returns nil if the group is
