A connection holds a bounded part of what its client sends

With 330 connections that sent requests of 19 KB with 3,200 short fields, a dispatcher of 192 MB reached 768 MB, and no other client was served. The parser of redcon copied everything that one read brought and doubled its buffer for it, half a megabyte a connection, and the list of fields was split into a slice and a map of 3,200 names. Nothing of this was counted.

A reader of our own keeps at most one request, of the largest body plus 8 KiB of fields; what goes beyond it is read, dropped and answered as failed. Fields are visited one by one, 64 at most.

--- a/internal/frontend/resp/conn.go
+++ b/internal/frontend/resp/conn.go
@@ -1,15 +1,11 @@
 package resp
 
 import (
-	"errors"
 	"fmt"
-	"log/slog"
 	"strconv"
 	"sync"
 	"time"
 
-	"github.com/tidwall/redcon"
-
 	"kitefall/internal/dispatch"
 	"kitefall/internal/permit"
 )
@@ -24,11 +20,11 @@
 // clientConn is the connection of a client that has sent its first request. One goroutine reads its requests, another writes
 // its answers, and the dispatcher's event loop completes its calls. Any goroutine may close it.
 type clientConn struct {
-	server   *Server
-	netConn  *trackedConn
-	respConn redcon.DetachedConn // parses requests from netConn and buffers answers for it
-	answers  chan answer         // queued for the writer
-	done     chan struct{}       // closed when the connection is closed
+	server  *Server
+	netConn *trackedConn
+	writer  answerWriter  // used only by the writer
+	answers chan answer   // queued for the writer
+	done    chan struct{} // closed when the connection is closed
 
 	mu           sync.Mutex
 	requests     map[uint64]*inFlightRequest // the requests in flight, by tag
@@ -39,11 +35,11 @@
 	lastRequest  time.Time // when the last CALL arrived; zero before the first
 }
 
-func newClientConn(server *Server, netConn *trackedConn, detached redcon.DetachedConn) *clientConn {
+func newClientConn(server *Server, netConn *trackedConn) *clientConn {
 	return &clientConn{
 		server:       server,
 		netConn:      netConn,
-		respConn:     detached,
+		writer:       answerWriter{destination: netConn},
 		answers:      make(chan answer, answerQueueSize),
 		done:         make(chan struct{}),
 		requests:     map[uint64]*inFlightRequest{},
@@ -53,35 +49,30 @@
 
 // readRequests handles the first request and then every request that it reads. It closes the connection when reading or
 // handling fails.
-func (c *clientConn) readRequests(first redcon.Command) {
-	err := c.processRequest(first.Args)
+func (c *clientConn) readRequests(first request, reader *requestReader) {
+	err := c.processRequest(first)
 	for err == nil {
-		var command redcon.Command
-		command, err = c.respConn.ReadCommand()
+		var next request
+		next, err = reader.next()
 		if err == nil {
-			err = c.processRequest(command.Args)
+			err = c.processRequest(next)
 		}
 	}
-	if errors.Is(err, errMalformedRequest) {
-		c.server.logs.protocolError.Log(slog.LevelWarn, "frontend: connection closed after a protocol error",
-			"addr", c.remoteAddr(), "err", err)
-		c.close(closedMalformed)
-		return
-	}
-	c.close(closedByClient)
+	c.close(c.server.readFailureReason(c.netConn, err))
 }
 
 // processRequest handles one request that was read, and removes it from the unhandled ones. After an error the caller closes
 // the connection.
-func (c *clientConn) processRequest(args [][]byte) error {
-	err := c.handleRequest(args)
+func (c *clientConn) processRequest(received request) error {
+	err := c.handleRequest(received)
 	c.netConn.unhandled.Add(-1)
 	c.closeIfDraining() // a CANCEL or a rejected request may leave the connection idle
 	return err
 }
 
 // handleRequest runs the command of one request. It returns an error if the connection must be closed.
-func (c *clientConn) handleRequest(args [][]byte) error {
+func (c *clientConn) handleRequest(received request) error {
+	args := received.arguments
 	if len(args) < 2 {
 		return fmt.Errorf("%w: %d arguments, want at least a command and a tag", errMalformedRequest, len(args))
 	}
@@ -91,7 +82,7 @@
 	}
 	switch string(args[0]) {
 	case commandCall:
-		return c.handleCall(tag, args[2:])
+		return c.handleCall(tag, received)
 	case commandCancel:
 		c.handleCancel(tag)
 	case commandCheck:
@@ -130,8 +121,6 @@
 	c.enqueueLocked(newAnswer(tag, word))
 }
 
-func (c *clientConn) remoteAddr() string { return c.netConn.RemoteAddr().String() }
-
 // idleSince returns the time of the last activity, and whether the connection has neither a request in flight nor an
 // unwritten answer.
 func (c *clientConn) idleSince() (since time.Time, idle bool) {
--- a/internal/frontend/resp/conncall.go
+++ b/internal/frontend/resp/conncall.go
@@ -33,12 +33,12 @@
 
 // handleCall parses a CALL and submits it to the dispatcher. It answers invalid calls as failed, and calls that the drain no
 // longer admits as rejected. It returns an error if the connection must be closed.
-func (c *clientConn) handleCall(tag uint64, args [][]byte) error {
+func (c *clientConn) handleCall(tag uint64, received request) error {
 	if err := c.checkTag(tag); err != nil {
 		return err
 	}
 	now := time.Now()
-	parsed, err := parseCall(args, &c.server.Settings, now)
+	parsed, err := parseCall(received, &c.server.Settings, now)
 	if err == nil && !c.server.DrainState.Admits(now, parsed.Deadline) {
 		metrics.Refusals.Add(refusalDraining)
 		c.reply(tag, wordRejected)
@@ -53,7 +53,7 @@
 	}
 	if err != nil {
 		c.server.logs.requestFailed.Log(slog.LevelWarn, "frontend: request failed",
-			"tag", tag, "addr", c.remoteAddr(), "err", err)
+			"tag", tag, "addr", c.netConn.RemoteAddr(), "err", err)
 		c.reply(tag, wordFailed)
 		return nil
 	}
--- a/internal/frontend/resp/connwriter.go
+++ b/internal/frontend/resp/connwriter.go
@@ -36,11 +36,11 @@
 
 // writeQueued writes an answer and those that are queued behind it.
 func (c *clientConn) writeQueued(a answer) {
-	a.encode(c.respConn)
+	c.writer.write(&a)
 	buffered := 1
 	for len(c.answers) > 0 {
 		a = <-c.answers
-		a.encode(c.respConn)
+		c.writer.write(&a)
 		buffered++
 	}
 	c.flush(buffered)
@@ -57,7 +57,7 @@
 // flush writes the buffered answers to the network, and closes the connection if the write fails. buffered is the number of
 // buffered answers.
 func (c *clientConn) flush(buffered int) {
-	if c.respConn.Flush() != nil {
+	if c.writer.flush() != nil {
 		c.netConn.forceClose(closedWriteFailed)
 	}
 	c.mu.Lock()
--- a/internal/frontend/resp/listener.go
+++ b/internal/frontend/resp/listener.go
@@ -12,7 +12,7 @@
 // acceptRetryDelay is the pause after an accept that failed, most likely for lack of descriptors or memory.
 const acceptRetryDelay = 10 * time.Millisecond
 
-// listener accepts connections for redcon and registers them with the server. It keeps no more connections open than the server
+// listener accepts connections and registers them with the server. It keeps no more connections open than the server
 // has descriptors for: when none is free, a new connection evicts an idle one, which is closed to free its descriptor.
 // idleConn.compare defines which connection is evicted first.
 type listener struct {
@@ -20,16 +20,13 @@
 	server *Server
 }
 
-// Accept returns the next connection, a *trackedConn. It returns an error, which wraps net.ErrClosed, only when the listener
-// is closed. It logs any other error and tries again.
-func (l *listener) Accept() (net.Conn, error) {
+// accept returns the next connection. It returns an error, which wraps net.ErrClosed, only once the listener and the last
+// connection are closed. It logs any other error and tries again.
+func (l *listener) accept() (*trackedConn, error) {
 	for {
 		conn, err := l.Listener.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
-			// When its listener ends, redcon closes all connections that it still holds, even one whose first request
-			// has arrived or is being passed to handleFirstRequest. Therefore redcon gets the error only after the last
-			// connection has been closed.
 			l.server.waitForLastConn()
 			return nil, err
 		case err != nil:
@@ -43,7 +40,7 @@
 }
 
 // handleAcceptError evicts an idle connection, because the process is most likely out of descriptors. It then pauses, because
-// an immediate retry, as redcon would do it, would keep the processor busy.
+// an immediate retry would keep the processor busy.
 func (l *listener) handleAcceptError(err error) {
 	metrics.Shortages.Add("accept")
 	l.server.logs.acceptFailed.Log(slog.LevelWarn, "frontend: cannot accept a connection", "err", err)
--- a/internal/frontend/resp/listener_test.go
+++ b/internal/frontend/resp/listener_test.go
@@ -70,7 +70,7 @@
 	return server, serveErr
 }
 
-// A planned restart must not lose first requests. When its listener ends, redcon closes every connection that it still holds.
+// A planned restart must not lose first requests. The end of the listener does not close the connections that it has accepted.
 // That includes connections that have not sent their first request yet, or whose first request is being passed to the handler.
 // These requests must be accepted and answered.
 func TestRequestIsAnsweredAfterTheListenerEnds(t *testing.T) {
--- a/internal/frontend/resp/parse.go
+++ b/internal/frontend/resp/parse.go
@@ -1,6 +1,8 @@
 package resp
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -19,6 +21,9 @@
 	maxMemoryMB    = 1 << 20
 )
 
+// maxFields is the maximum number of fields of a CALL request, and of fields within its field "spec".
+const maxFields = 64
+
 // The separators of the fields of a CALL request, and of the fields within its field "spec".
 const (
 	fieldSeparator     = ","
@@ -38,21 +43,40 @@
 	return fmt.Sprintf("field %s=%q: %s", e.field, e.value, e.reason)
 }
 
-// parseCall builds a call from the arguments of a CALL request that follow its tag: class, fields and an optional body. It
-// returns an error for every value that a worker or the balancer could not use, because a worker would answer it with an error,
-// which would count against the worker. Unknown fields are ignored. Source: client protocol.
-func parseCall(args [][]byte, settings *balancer.Settings, now time.Time) (*call.Call, error) {
-	if len(args) < 2 || len(args) > 3 {
-		return nil, fmt.Errorf("%d arguments after the tag, want a class, fields and an optional body", len(args))
+// The arguments of a CALL request, in their order. The body is optional.
+const (
+	argumentCommand = iota
+	argumentTag
+	argumentClass
+	argumentFields
+	argumentBody
+	callArguments
+)
+
+// Errors of CALL requests.
+var (
+	errArgumentCount = errors.New("want a class, fields and an optional body after the tag")
+	errTooLarge      = errors.New("the request, its fields or its body are too large")
+	errTooManyFields = fmt.Errorf("more than %d fields", maxFields)
+)
+
+// parseCall builds a call from a CALL request. It returns an error for every value that a worker or the balancer could not use,
+// because a worker would answer it with an error, which would count against the worker. Unknown fields are ignored. The call holds
+// no memory of the request. Source: client protocol.
+func parseCall(received request, settings *balancer.Settings, now time.Time) (*call.Call, error) {
+	args := received.arguments
+	if len(args) != callArguments && len(args) != callArguments-1 {
+		return nil, errArgumentCount
 	}
-	parser := callParser{call: &call.Call{Class: string(args[0])}}
-	if len(args) == 3 {
-		parser.call.Body = args[2]
+	var body []byte
+	if len(args) == callArguments {
+		body = args[argumentBody]
 	}
-	if len(parser.call.Body) > call.MaxBodyBytes {
-		return nil, fmt.Errorf("the body has %d bytes, the limit is %d", len(parser.call.Body), call.MaxBodyBytes)
+	if received.truncated || len(args[argumentFields]) > maxFieldsBytes || len(body) > call.MaxBodyBytes {
+		return nil, errTooLarge
 	}
-	if err := forEachField(string(args[1]), fieldSeparator, fieldAssignment, parser.setField); err != nil {
+	parser := callParser{call: &call.Call{Class: string(args[argumentClass])}}
+	if err := forEachField(string(args[argumentFields]), fieldSeparator, fieldAssignment, parser.setField); err != nil {
 		return nil, err
 	}
 	if err := parser.checkRequired(); err != nil {
@@ -62,6 +86,7 @@
 		return nil, err
 	}
 	parser.call.Deadline = now.Add(parser.wait)
+	parser.call.Body = bytes.Clone(body)
 	return parser.call, nil
 }
 
@@ -80,12 +105,12 @@
 	case "wait":
 		p.wait, err = parseMilliseconds(name, value, 1)
 	case "tenant":
-		p.call.Tenant = value
+		p.call.Tenant = strings.Clone(value)
 	case "key":
-		p.call.Function = value
+		p.call.Function = strings.Clone(value)
 		_, err = parseID(name, value)
 	case "once":
-		p.call.IdempotencyKey = value
+		p.call.IdempotencyKey = strings.Clone(value)
 		if value != "" && !call.IsKey(value) {
 			err = &fieldError{field: name, reason: "too long"}
 		}
@@ -164,18 +189,23 @@
 }
 
 // forEachField calls visit for each name and value in a list of fields. A name that occurs twice and a name without a value are
-// errors.
+// errors, and so are more than maxFields fields.
 func forEachField(list, separator, assignment string, visit func(name, value string) error) error {
-	seen := map[string]bool{}
-	for _, field := range strings.Split(list, separator) {
+	var names [maxFields]string
+	count := 0
+	for field := range strings.SplitSeq(list, separator) {
 		name, value, ok := strings.Cut(field, assignment)
 		if !ok {
 			return &fieldError{field: name, reason: "has no value"}
 		}
-		if seen[name] {
+		if count == maxFields {
+			return errTooManyFields
+		}
+		if slices.Contains(names[:count], name) {
 			return &fieldError{field: name, value: value, reason: "is given twice"}
 		}
-		seen[name] = true
+		names[count] = name
+		count++
 		if err := visit(name, value); err != nil {
 			return err
 		}
--- a/internal/frontend/resp/parse_test.go
+++ b/internal/frontend/resp/parse_test.go
@@ -13,12 +13,21 @@
 	"kitefall/internal/call"
 )
 
+// callRequest returns a CALL request with the arguments after its tag.
+func callRequest(arguments ...string) request {
+	received := request{arguments: [][]byte{[]byte(commandCall), []byte("1")}}
+	for _, argument := range arguments {
+		received.arguments = append(received.arguments, []byte(argument))
+	}
+	return received
+}
+
 func TestParseCallReadsAllFields(t *testing.T) {
 	now := time.Now()
 	settings := &balancer.Settings{Classes: []balancer.Class{{Name: "consulta"}}}
 	fields := "id=9b1f03aa5c7e2d41,wait=4000,tenant=acme,key=7f3a9c21e0b4d655,once=5c0f=\x00\xff,cost=8.5," +
 		"spec=memory_mb:512;lanes:2;load_ms:640;later:1,later=1"
-	parsed, err := parseCall([][]byte{[]byte("consulta"), []byte(fields), []byte("body")}, settings, now)
+	parsed, err := parseCall(callRequest("consulta", fields, "body"), settings, now)
 	require.NoError(t, err)
 	assert.Equal(t, &call.Call{
 		ID:           0x9b1f03aa5c7e2d41,
@@ -52,7 +61,7 @@
 		valid + ",spec=lanes:0;load_ms:": {field: "lanes", value: "0", reason: "must be from 1 to 1024"},
 	} {
 		t.Run(fields, func(t *testing.T) {
-			_, err := parseCall([][]byte{[]byte("consulta"), []byte(fields)}, settings, time.Now())
+			_, err := parseCall(callRequest("consulta", fields), settings, time.Now())
 			var got *fieldError
 			require.True(t, errors.As(err, &got), "%v", err)
 			assert.Equal(t, want, *got)
--- a/internal/frontend/resp/reply.go
+++ b/internal/frontend/resp/reply.go
@@ -3,8 +3,6 @@
 import (
 	"strconv"
 
-	"github.com/tidwall/redcon"
-
 	"kitefall/internal/call"
 )
 
@@ -49,12 +47,3 @@
 		return newAnswer(tag, wordFailed)
 	}
 }
-
-// encode appends the answer to the write buffer of conn. The next flush writes it.
-func (a *answer) encode(conn redcon.DetachedConn) {
-	conn.WriteArray(4)
-	conn.WriteBulkString(strconv.FormatUint(a.tag, 10))
-	conn.WriteBulkString(a.word)
-	conn.WriteBulkString(a.fields)
-	conn.WriteBulk(a.body)
-}
--- a/internal/frontend/resp/request_test.go
+++ b/internal/frontend/resp/request_test.go
@@ -55,8 +55,8 @@
 	assert.Equal(t, "5 fault  ", c.receive())
 }
 
-// A malformed request ends its connection, and other clients are still served. Without the validator, redcon would loop on the
-// huge count, grow its buffer for the huge length, and accept the inline command.
+// A malformed request ends its connection, and other clients are still served. Without the validator, a
+// huge count or length would keep the connection's memory growing.
 func TestMalformedRequestsEndTheConnection(t *testing.T) {
 	w := fakes.NewWorker(t)
 	_, connect := startServer(t, w)
--- a/internal/frontend/resp/server.go
+++ b/internal/frontend/resp/server.go
@@ -9,13 +9,12 @@
 
 import (
 	"cmp"
+	"errors"
 	"net"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/tidwall/redcon"
-
 	"kitefall/internal/balancer"
 	"kitefall/internal/descriptors"
 	"kitefall/internal/dispatch"
@@ -85,7 +84,13 @@
 	defer close(listenerEnded)
 	go s.sweepUntilLastConn(listenerEnded) // returns when Serve has returned and no connection is open
 	limited := &listener{Listener: ln, server: s}
-	return redcon.NewServer(ln.Addr().String(), s.handleFirstRequest, nil, nil).Serve(limited)
+	for {
+		conn, err := limited.accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		go conn.serve() // returns once the connection is closed
+	}
 }
 
 func (s *Server) init() {
@@ -110,17 +115,21 @@
 	return len(s.conns)
 }
 
-// handleFirstRequest detaches a connection from redcon at its first request, because redcon answers requests in order, while
-// here an answer may follow long after the answers to later requests. The two goroutines that it starts end when the connection
-// is closed.
-func (s *Server) handleFirstRequest(conn redcon.Conn, command redcon.Command) {
-	tracked := conn.NetConn().(*trackedConn)
-	client := newClientConn(s, tracked, conn.Detach())
-	if !tracked.attach(client) {
+// serve reads and handles the requests of a connection until it is closed. From the first request on, another goroutine writes the
+// answers, because an answer may follow long after the answers to later requests.
+func (t *trackedConn) serve() {
+	reader := newRequestReader(t)
+	first, err := reader.next()
+	if err != nil {
+		t.closeWithoutRequest(err)
+		return
+	}
+	client := newClientConn(t.server, t)
+	if !t.attach(client) {
 		return
 	}
 	go client.writeAnswers()
-	go client.readRequests(command)
+	client.readRequests(first, reader)
 }
 
 // sweepUntilLastConn repeatedly closes the connections that have exceeded a timeout or that package drain wants closed. It
--- a/internal/frontend/resp/trackedconn.go
+++ b/internal/frontend/resp/trackedconn.go
@@ -1,6 +1,7 @@
 package resp
 
 import (
+	"errors"
 	"log/slog"
 	"net"
 	"sync"
@@ -12,7 +13,7 @@
 	"kitefall/internal/permit"
 )
 
-// trackedConn is an accepted network connection. It validates the client's bytes before redcon reads them, and is registered
+// trackedConn is an accepted network connection. It validates the client's bytes before they are parsed, and is registered
 // with its server until it is closed.
 type trackedConn struct {
 	*gatedconn.Conn
@@ -94,6 +95,27 @@
 	return !t.closed
 }
 
+// closeWithoutRequest closes a connection on which reading has failed before the first request was complete.
+func (t *trackedConn) closeWithoutRequest(cause error) {
+	t.server.mu.Lock()
+	alreadyClosed := t.closed
+	t.server.mu.Unlock()
+	if !alreadyClosed {
+		t.server.readFailureReason(t, cause).count()
+	}
+	t.Close()
+}
+
+// readFailureReason returns why a connection is closed on which reading has failed. It logs a violation of the protocol.
+func (s *Server) readFailureReason(conn *trackedConn, cause error) closeReason {
+	if !errors.Is(cause, errMalformedRequest) {
+		return closedByClient
+	}
+	s.logs.protocolError.Log(slog.LevelWarn, "frontend: connection closed after a protocol error",
+		"addr", conn.RemoteAddr(), "err", cause)
+	return closedMalformed
+}
+
 // stopReadingIfIdle stops reading if the connection has no unread data, no unhandled request and no pending or undelivered answer,
 // and reports whether it did. If reason.waitsForIncomplete, it does not stop reading within an incomplete request either. If
 // reading has stopped, the caller closes the connection: a request that arrives in between stays unread, so that the kernel resets
--- a/internal/frontend/resp/validator.go
+++ b/internal/frontend/resp/validator.go
@@ -12,7 +12,8 @@
 const (
 	arrayMarker      = '*' // precedes the number of arguments
 	bulkStringMarker = '$' // precedes the length of an argument
-	lineEndBytes     = len("\r\n")
+	lineEnd          = "\r\n"
+	lineEndBytes     = len(lineEnd)
 )
 
 // errMalformedRequest is returned for a request after which the connection is closed, because the boundaries of the following
@@ -29,9 +30,8 @@
 	expectArgument // bytes of an argument, including its line end
 )
 
-// requestValidator checks the bytes that a client sends before redcon parses them. Redcon trusts the numbers in a request: a
-// huge number of arguments keeps it in a loop, a huge length makes its buffer grow without limit, and it treats a line that does
-// not begin with a marker as an inline command. Below, a header is a line that states a number of arguments or a length: marker,
+// requestValidator checks the bytes that a client sends before a requestReader parses them. It also tells, for each read, how many
+// requests the bytes complete, which decides whether the connection is idle. Below, a header is a line that states a number of arguments or a length: marker,
 // digits, line end. The zero value expects the start of a request.
 type requestValidator struct {
 	state         validatorState
