A client that does not take its answers is not read from

A client that sent CHECKs at full speed without reading the answers took a dispatcher with a limit of 96 MB to 210 MB. Each answer that found the queue full started a goroutine to close the connection, while the reader went on, so thousands of them waited for the connection's lock; what the client had sent was worked off even after it had left.

The reader now reads the next request only while the queue has room for the answers to all requests that may be in flight, so the queue cannot be full, and the close for this reason is gone: a write that stalls ends the connection as before. While it waits, and before each read of the socket, the reader looks whether the client has left, and drops what is unread then.

--- a/cmd/dispatcher/flood_test.go
+++ b/cmd/dispatcher/flood_test.go
@@ -197,6 +197,15 @@
 	block       func() []byte
 }
 
+// repeatRequests returns the encoding of many requests in a row, with tags that begin anew in each block.
+func repeatRequests(encode func(tag int) []byte) []byte {
+	var block []byte
+	for tag := 10; tag < 210; tag++ {
+		block = append(block, encode(tag)...)
+	}
+	return block
+}
+
 // floods returns the floods whose requests end in the frontend, by name.
 func floods() map[string]flood {
 	const function = "7f3a9c21e0b4d655"
@@ -207,6 +216,9 @@
 	largest := append([]byte("*8\r\n"), strings.Repeat("$20480\r\n"+strings.Repeat("y", 20480)+"\r\n", 7)...)
 	largest = append(largest, "$20480\r\n"+strings.Repeat("y", 20000)...)
 	return map[string]flood{
+		"checks with answers unread": {connections: 1, block: func() []byte {
+			return repeatRequests(func(tag int) []byte { return encodeWords("CHECK", strconv.Itoa(tag), "") })
+		}},
 		"many short fields": {connections: slowClients, pause: 50 * time.Millisecond, block: func() []byte {
 			return floodCall(1, "consulta", nextFloodID(), function, manyFields, "x")
 		}},
--- a/internal/frontend/resp/closereason.go
+++ b/internal/frontend/resp/closereason.go
@@ -9,7 +9,6 @@
 const (
 	closedByClient      closeReason = "client"            // closed by the client, or broken by the network
 	closedMalformed     closeReason = "malformed_request" // the client violated the protocol
-	closedAnswersUnread closeReason = "answers_unread"    // the client sends requests without reading the answers
 	closedWriteFailed   closeReason = "write_failed"      // an answer could not be written, or the client has taken too little of it
 	closedStalled       closeReason = "stalled"           // the client has taken nothing of its answers for Timeouts.Idle
 	closedTimedOut      closeReason = "timed_out"         // the client exceeded one of the Timeouts
--- a/internal/frontend/resp/conn.go
+++ b/internal/frontend/resp/conn.go
@@ -26,6 +26,9 @@
 	answers chan answer   // queued for the writer
 	done    chan struct{} // closed when the connection is closed
 
+	// answersTaken is signalled when queued answers have been written.
+	answersTaken chan struct{}
+
 	mu           sync.Mutex
 	requests     map[uint64]*inFlightRequest // the requests in flight, by tag
 	unwritten    int                         // number of answers queued but not written yet
@@ -42,6 +45,7 @@
 		writer:       answerWriter{destination: netConn},
 		answers:      make(chan answer, answerQueueSize),
 		done:         make(chan struct{}),
+		answersTaken: make(chan struct{}, 1),
 		requests:     map[uint64]*inFlightRequest{},
 		lastActivity: time.Now(),
 	}
@@ -52,9 +56,11 @@
 func (c *clientConn) readRequests(first request, reader *requestReader) {
 	err := c.processRequest(first)
 	for err == nil {
+		if err = c.beforeRead(reader.buffered()); err != nil {
+			break
+		}
 		var next request
-		next, err = reader.next()
-		if err == nil {
+		if next, err = reader.next(); err == nil {
 			err = c.processRequest(next)
 		}
 	}
--- a/internal/frontend/resp/connwriter.go
+++ b/internal/frontend/resp/connwriter.go
@@ -6,16 +6,11 @@
 // are answered at once, such as CHECK.
 const answerQueueSize = 2 * maxRequestsPerConn
 
-// enqueueLocked queues an answer. It never blocks, because the dispatcher's event loop calls it. The caller holds c.mu.
+// enqueueLocked queues an answer. It never blocks, because the dispatcher's event loop calls it. There is always room, because the
+// reader reads no request before there is (see awaitAnswersTaken). The caller holds c.mu.
 func (c *clientConn) enqueueLocked(a answer) {
-	select {
-	case c.answers <- a:
-		c.unwritten++
-	default:
-		// The client sends requests without reading the answers. It is disconnected so that its answers do not fill the
-		// memory. A new goroutine calls close, because close locks c.mu, which the caller of enqueueLocked holds.
-		go c.close(closedAnswersUnread)
-	}
+	c.answers <- a
+	c.unwritten++
 }
 
 // writeAnswers writes queued answers until the connection is closed. It writes all answers that are queued at the same time
@@ -64,5 +59,9 @@
 	c.unwritten -= buffered
 	c.lastActivity = time.Now()
 	c.mu.Unlock()
+	select {
+	case c.answersTaken <- struct{}{}:
+	default:
+	}
 	c.closeIfDraining()
 }
--- a/internal/frontend/resp/requestreader.go
+++ b/internal/frontend/resp/requestreader.go
@@ -40,6 +40,9 @@
 	return &requestReader{source: bufio.NewReaderSize(source, readBufferSize)}
 }
 
+// buffered reports whether bytes were read from the connection that do not belong to a returned request.
+func (r *requestReader) buffered() bool { return r.source.Buffered() > 0 }
+
 // next returns the next request. It blocks until the request is complete.
 func (r *requestReader) next() (request, error) {
 	count, err := r.readHeader()
--- a/internal/gatedconn/conn.go
+++ b/internal/gatedconn/conn.go
@@ -156,6 +156,10 @@
 	return unread > 0
 }
 
+// PeerHasClosed reports whether the peer has closed or reset the connection, although bytes that it sent before may be unread. If the
+// connection has no socket, or the kernel does not provide the state, PeerHasClosed returns false. It does not block.
+func (c *Conn) PeerHasClosed() bool { return c.raw != nil && tcpstate.PeerHasClosed(c.raw) }
+
 // Delivery returns how far the written bytes have got. If the connection has no socket, or the kernel does not provide the state,
 // Delivery returns ok == false.
 func (c *Conn) Delivery() (delivery tcpstate.Delivery, ok bool) {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -30,6 +30,8 @@
 	AnswersCut = newCounter("answers_cut")
 	// ClientConnsClosed counts closed connections of clients, by reason.
 	ClientConnsClosed = newCounter("client_conns_closed")
+	// ClientReadsPaused counts pauses in which nothing is read from a client's connection, by reason.
+	ClientReadsPaused = newCounter("client_reads_paused")
 	// ClockSteps counts steps of the wall clock, by direction.
 	ClockSteps = newCounter("clock_steps")
 	// Discovery counts how often the last sync with discovery became too old (silent), and how often a sync succeeded after
