Clients' calls wait for the event loop in turn, and few at a time

In the evidence 884 events waited for the event loop, most of them calls of one connection that had just been read, and calls of others waited behind them for 92 ms. SubmitInTurn lets 64 calls wait for the event loop at a time. Goroutines that wait beyond that get their turns in the order in which they came, which is one call for each connection. The invoke API submits as before.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -26,6 +26,10 @@
 // and other senders block.
 const queueSize = 8192
 
+// maxWaitingSubmissions is how many calls of SubmitInTurn wait for the event loop at a time. It bounds the time that a call waits
+// behind others, however many clients submit calls.
+const maxWaitingSubmissions = 64
+
 // ErrOverloaded means that a call was not accepted because the calls in flight or their bodies have reached a limit, or
 // because the event queue is full. A retry cannot run the call twice.
 var ErrOverloaded = errors.New("too many calls in flight")
@@ -44,6 +48,7 @@
 type Core struct {
 	config  Config
 	queue   chan queuedEvent
+	turns   chan struct{} // holds a token for each call of SubmitInTurn in queue
 	stop    chan struct{} // closed by Stop
 	stopped chan struct{} // closed when Run has returned
 
@@ -82,6 +87,7 @@
 	c := &Core{
 		config:     config,
 		queue:      make(chan queuedEvent, queueSize),
+		turns:      make(chan struct{}, maxWaitingSubmissions),
 		stop:       make(chan struct{}),
 		stopped:    make(chan struct{}),
 		balancer:   b,
@@ -118,12 +124,40 @@
 // Submit accepts a call, which may start at once. If it returns ErrOverloaded, the call was not accepted and its Done is
 // not called.
 func (c *Core) Submit(submitted *call.Call) (*Handle, error) {
+	return c.submit(callSubmitted{call: submitted})
+}
+
+// SubmitInTurn is like Submit, but first waits while maxWaitingSubmissions of its calls wait for the event loop. Goroutines that
+// wait get their turns in the order in which they came. After the end of Run it does not wait.
+func (c *Core) SubmitInTurn(submitted *call.Call) (*Handle, error) {
+	select {
+	case c.turns <- struct{}{}:
+	case <-c.stop:
+	}
+	h, err := c.submit(callSubmitted{call: submitted, inTurn: true})
+	if err != nil {
+		c.endTurn()
+	}
+	return h, err
+}
+
+// endTurn lets the next call of SubmitInTurn wait for the event loop.
+func (c *Core) endTurn() {
+	select {
+	case <-c.turns:
+	default: // after the end of Run
+	}
+}
+
+func (c *Core) submit(e callSubmitted) (*Handle, error) {
+	submitted := e.call
 	if !c.reserve(submitted) {
 		return nil, ErrOverloaded
 	}
 	h := &Handle{core: c}
+	e.handle = h
 	select {
-	case c.queue <- newQueuedEvent(callSubmitted{call: submitted, handle: h}):
+	case c.queue <- newQueuedEvent(e):
 		return h, nil
 	default:
 		c.release(submitted)
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -22,6 +22,7 @@
 	callSubmitted struct {
 		call   *call.Call
 		handle *Handle
+		inTurn bool // submitted by SubmitInTurn
 	}
 	// callCancelled means that a call was cancelled because its client no longer waits.
 	callCancelled struct{ handle *Handle }
@@ -124,6 +125,9 @@
 func (c *Core) handle(e event) {
 	switch e := e.(type) {
 	case callSubmitted:
+		if e.inTurn {
+			c.endTurn()
+		}
 		c.accept(e.call, e.handle)
 	case callCancelled:
 		c.cancelRequest(e.handle)
