Connections share the core: what ends unserved is paid for, and a reader gives way

A reader went on until the scheduler stopped it, for 10 ms each.

A reader now gives way after 32 requests. Requests that end without being served cost their connection work units, by what they cost the process. A connection has 50 units a second for itself; beyond them all connections share 8,000 a second and core in turn, and the reader of one that has to wait reads nothing meanwhile, so the kernel's window holds its client back. A pause ends when the client leaves.

--- a/cmd/dispatcher/flood_test.go
+++ b/cmd/dispatcher/flood_test.go
@@ -213,12 +213,29 @@
 	for i := range 3200 {
 		manyFields += fmt.Sprintf(",%x=1", i)
 	}
+	unknownClass := func() []byte {
+		return repeatRequests(func(tag int) []byte {
+			id := nextFloodID()
+			return floodCall(tag, fmt.Sprintf("none-%x", id), id, function, "", "x")
+		})
+	}
 	largest := append([]byte("*8\r\n"), strings.Repeat("$20480\r\n"+strings.Repeat("y", 20480)+"\r\n", 7)...)
 	largest = append(largest, "$20480\r\n"+strings.Repeat("y", 20000)...)
 	return map[string]flood{
+		"unknown names":      {connections: 1, readAnswers: true, block: unknownClass},
+		"many unknown names": {connections: 16, readAnswers: true, block: unknownClass},
+		"invalid ids": {connections: 1, readAnswers: true, block: func() []byte {
+			return repeatRequests(func(tag int) []byte { return encodeWords("CALL", strconv.Itoa(tag), "consulta", "id=1") })
+		}},
 		"checks with answers unread": {connections: 1, block: func() []byte {
 			return repeatRequests(func(tag int) []byte { return encodeWords("CHECK", strconv.Itoa(tag), "") })
 		}},
+		"calls cancelled at once": {connections: 1, readAnswers: true, block: func() []byte {
+			return repeatRequests(func(tag int) []byte {
+				request := floodCall(tag, "consulta", nextFloodID(), function, "", "x")
+				return append(request, encodeWords("CANCEL", strconv.Itoa(tag))...)
+			})
+		}},
 		"many short fields": {connections: slowClients, pause: 50 * time.Millisecond, block: func() []byte {
 			return floodCall(1, "consulta", nextFloodID(), function, manyFields, "x")
 		}},
--- a/cmd/dispatcher/server.go
+++ b/cmd/dispatcher/server.go
@@ -158,7 +158,7 @@
 		return err
 	}
 	s.frontend = &resp.Server{Core: s.core, Ready: s.ready, Settings: s.config.Settings, Timeouts: resp.DefaultTimeouts,
-		DrainState: s.drainState}
+		DrainState: s.drainState, Cores: s.config.Limits.Cores}
 	go func() { s.serveErrors <- s.frontend.Serve(s.listener, s.descriptors.Clients) }()
 	s.listening.Store(true)
 	slog.Info("listening", "name", s.config.Name, "addr", s.config.Listen)
--- a/internal/frontend/resp/client_test.go
+++ b/internal/frontend/resp/client_test.go
@@ -45,6 +45,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { ln.Close() })
 	server := &resp.Server{Core: core, Ready: core.EndpointsKnown, Settings: fakes.Settings(), Timeouts: timeouts,
+		Cores:      1,
 		DrainState: drain.New(evacuation, drain.Schedule{AnswerBy: time.Hour, CloseBy: time.Hour})}
 	server.Settings.Tenants = []balancer.Tenant{{Name: "acme"}}
 	go server.Serve(ln, descriptors.NewShare(maxConns))
--- a/internal/frontend/resp/conn.go
+++ b/internal/frontend/resp/conn.go
@@ -4,8 +4,11 @@
 	"fmt"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"kitefall/internal/dispatch"
 	"kitefall/internal/permit"
 )
@@ -28,6 +31,9 @@
 
 	// answersTaken is signalled when queued answers have been written.
 	answersTaken chan struct{}
+	ownUnits     *rate.Limiter // work units that the connection may use for itself
+	owedUnits    atomic.Int64  // work units that are not paid for yet
+	handled      int           // number of requests that the reader has handled; used only by the reader
 
 	mu           sync.Mutex
 	requests     map[uint64]*inFlightRequest // the requests in flight, by tag
@@ -46,6 +52,7 @@
 		answers:      make(chan answer, answerQueueSize),
 		done:         make(chan struct{}),
 		answersTaken: make(chan struct{}, 1),
+		ownUnits:     newConnLimiter(),
 		requests:     map[uint64]*inFlightRequest{},
 		lastActivity: time.Now(),
 	}
@@ -72,6 +79,7 @@
 func (c *clientConn) processRequest(received request) error {
 	err := c.handleRequest(received)
 	c.netConn.unhandled.Add(-1)
+	c.owedUnits.Add(int64(received.size / bytesPerUnit))
 	c.closeIfDraining() // a CANCEL or a rejected request may leave the connection idle
 	return err
 }
@@ -107,7 +115,12 @@
 		c.lastActivity = time.Now()
 	}
 	c.mu.Unlock()
-	if request != nil && request.handle != nil {
+	if request == nil {
+		c.owedUnits.Add(unitsPerReply)
+		return
+	}
+	c.owedUnits.Add(unitsPerCancel)
+	if request.handle != nil {
 		request.handle.Cancel()
 	}
 }
@@ -122,6 +135,7 @@
 
 // reply queues an answer that consists of a word alone, to a request that is not in flight.
 func (c *clientConn) reply(tag uint64, word string) {
+	c.owedUnits.Add(unitsPerReply)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.enqueueLocked(newAnswer(tag, word))
--- a/internal/frontend/resp/conncall.go
+++ b/internal/frontend/resp/conncall.go
@@ -58,6 +58,9 @@
 		return nil
 	}
 	parsed.Done = func(result call.Answer) {
+		if result.Outcome != call.Served {
+			c.owedUnits.Add(unitsPerUnservedRun)
+		}
 		c.complete(tag, request, newCallAnswer(tag, result, c.server.Settings.SendRetryAfter))
 	}
 	c.submit(request, parsed)
@@ -100,7 +103,7 @@
 
 // submit submits a registered request to the dispatcher. If the dispatcher is overloaded, the request is rejected.
 func (c *clientConn) submit(request *inFlightRequest, parsed *call.Call) {
-	handle, err := c.server.Core.Submit(parsed)
+	handle, err := c.server.Core.SubmitInTurn(parsed)
 	if err != nil {
 		parsed.Done(call.Answer{Outcome: call.Rejected})
 		return
--- a/internal/frontend/resp/pacing.go
+++ b/internal/frontend/resp/pacing.go
@@ -2,12 +2,47 @@
 
 import (
 	"errors"
+	"runtime"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"kitefall/internal/metrics"
 )
 
+// This file shares the processor among the clients' connections. A reader gives way to the other goroutines after
+// requestsPerTurn requests. Requests that end without being served cost their connection work units. A connection has a small rate
+// of units of its own. Beyond it, connections share one rate in turn: the reader of each waits until its last request is paid for,
+// and reads nothing meanwhile, so that the kernel's receive window holds the client back.
+
+// requestsPerTurn is how many requests a reader handles before it gives way.
+const requestsPerTurn = 32
+
+// Work units, each about the work of refusing a small request.
+const (
+	unitsPerReply       = 1
+	unitsPerUnservedRun = 4 // a call that was submitted and not served
+	unitsPerCancel      = 8 // a call that was submitted, and whose cancellation may have to reach a worker
+	bytesPerUnit        = 4 << 10
+)
+
+// Rates of work units, per second, and the units that may be used at once.
+const (
+	connUnitRate    = 50
+	connUnitBurst   = 128
+	sharedUnitRate  = 8000 // for each core
+	sharedUnitBurst = 128
+)
+
+// The metrics labels of pauses.
 const (
+	pausedForWork    = "work"    // the connection's requests cost more than its share
+	pausedForAnswers = "answers" // the client does not take its answers
+)
+
+const (
+	// minPause is the shortest pause. Shorter ones add up until they are worth the wake-up.
+	minPause = 2 * time.Millisecond
 	// departureCheckInterval is the time between two checks, during a pause, whether the client has left.
 	departureCheckInterval = 20 * time.Millisecond
 )
@@ -15,17 +50,59 @@
 // errClientLeft is returned once the client has closed its connection, also if requests that it sent before are unread.
 var errClientLeft = errors.New("the client has closed the connection")
 
-// beforeRead prepares to read the next request: it waits until the client takes its answers, and checks that the
-// client has not left. buffered says that the next request was read at least in part.
+// newSharedLimiter returns the limiter of the work units that all connections share.
+func newSharedLimiter(cores float64) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(sharedUnitRate*cores), sharedUnitBurst)
+}
+
+// newConnLimiter returns the limiter of a connection's own work units.
+func newConnLimiter() *rate.Limiter { return rate.NewLimiter(connUnitRate, connUnitBurst) }
+
+// beforeRead prepares to read the next request: it gives way, waits until the connection's work is paid for and its answers are
+// taken, and checks that the client has not left. buffered says that the next request was read at least in part.
 func (c *clientConn) beforeRead(buffered bool) error {
+	c.handled++
+	if c.handled%requestsPerTurn == 0 {
+		runtime.Gosched()
+	}
 	if !buffered && c.netConn.PeerHasClosed() {
 		return errClientLeft
 	}
+	if err := c.pause(c.payForWork()); err != nil {
+		return err
+	}
 	return c.awaitAnswersTaken()
 }
 
-// pausedForAnswers is the metrics label of pauses in which a client does not take its answers.
-const pausedForAnswers = "answers"
+// payForWork takes the units that the connection owes, and returns how long it has to wait for them.
+func (c *clientConn) payForWork() time.Duration {
+	units := int(c.owedUnits.Swap(0))
+	now := time.Now()
+	if units == 0 || c.ownUnits.AllowN(now, units) {
+		return 0
+	}
+	wait := time.Duration(0)
+	for units > 0 {
+		part := min(units, sharedUnitBurst)
+		wait = c.server.sharedUnits.ReserveN(now, part).DelayFrom(now)
+		units -= part
+	}
+	return wait
+}
+
+// pause waits for a time. It returns an error if the client leaves or the connection is closed.
+func (c *clientConn) pause(wait time.Duration) error {
+	if wait < minPause {
+		return nil
+	}
+	metrics.ClientReadsPaused.Add(pausedForWork)
+	for end := time.Now().Add(wait); wait > 0; wait = time.Until(end) {
+		if err := c.waitStep(min(wait, departureCheckInterval), nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
 
 // awaitAnswersTaken waits until there is room for the answers to all requests that may be in flight and to the next one. It returns
 // an error if the client leaves or the connection is closed.
--- a/internal/frontend/resp/server.go
+++ b/internal/frontend/resp/server.go
@@ -15,6 +15,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"kitefall/internal/balancer"
 	"kitefall/internal/descriptors"
 	"kitefall/internal/dispatch"
@@ -54,12 +56,15 @@
 	Ready    func() bool // decides the answer to CHECK
 	Settings balancer.Settings
 	Timeouts Timeouts
+	// Cores is the number of processor cores that the process may use. It may be a fraction.
+	Cores float64
 	// DrainState decides which calls are admitted, and which connections are closed, while the process drains.
 	DrainState *drain.State
 
 	logs        logs
 	descriptors *descriptors.Share
-	requestIDs  *requestIDs // the ids of the requests in flight on all connections
+	sharedUnits *rate.Limiter // work units that all connections share
+	requestIDs  *requestIDs   // the ids of the requests in flight on all connections
 
 	mu         sync.Mutex
 	conns      map[*trackedConn]bool
@@ -99,6 +104,7 @@
 	s.conns = map[*trackedConn]bool{}
 	s.connClosed = sync.NewCond(&s.mu)
 	s.requestIDs = newRequestIDs()
+	s.sharedUnits = newSharedLimiter(s.Cores)
 	s.logs = logs{
 		connRejected:  logthrottle.New(),
 		acceptFailed:  logthrottle.New(),
