The answer rate of warm workers is estimated from their own answers

The budget of a cold worker follows from the rate at which warm ones answer. That rate was taken from the answers of all workers in the last 10 s, also of those that had since begun to drain, gone or restarted, and divided by the weight of the workers that are warm now: with 13 workers that answered and one that is warm, up to 13 times too high.

Each worker now counts its own answers, and the rate comes from those of the warm workers alone.

--- a/internal/balancer/estimates.go
+++ b/internal/balancer/estimates.go
@@ -65,13 +65,13 @@
 	return ratio
 }
 
-// answerRate estimates from below how many requests per second a worker answers when it is warm.
+// answerRate estimates from below how many requests per second a worker answers when it is warm. Answers
+// of workers that are not warm, drain or have gone do not count: they tell nothing of the warm ones.
 func (b *Balancer) answerRate(r *request, w *worker) float64 {
 	answerTime := cmp.Or(b.stats.meanAnswer, r.class.LatencyObjective.Seconds())
 	rate := 1 / math.Max(answerTime, minAnswerTime)
 	if b.hotSet.warmWeight > 0 {
-		ownAnswers := b.stats.answers.add(b.now, 0, callDecay)
-		fleetRate := float64(b.settings.Dispatchers) * ownAnswers / callDecay.Seconds()
+		fleetRate := float64(b.settings.Dispatchers) * b.hotSet.warmAnswers / callDecay.Seconds()
 		rate = math.Max(rate, fleetRate*w.fullWeight/b.hotSet.warmWeight)
 	}
 	return rate
@@ -132,7 +132,7 @@
 	updateMean(&latency.objectiveRatio, objectiveRatio, smoothing)
 	updateMean(&f.meanAnswer, elapsed, smoothing)
 	updateOrStartMean(&b.stats.meanAnswer, elapsed, fleetSmoothing)
-	b.stats.answers.add(b.now, 1, callDecay)
+	a.worker.answers.add(b.now, 1, callDecay)
 }
 
 // recordLatency adds an answer time to the latency ratio of its worker. An attempt that timed out or was
--- a/internal/balancer/leases.go
+++ b/internal/balancer/leases.go
@@ -123,20 +123,17 @@
 	}
 }
 
-// expiredWarmWeight returns the total weight of the warm workers that the list names as ready and whose lease
-// has expired. They have served a part of the counted calls, and still serve calls of dispatchers that
-// have a valid lease for them.
-func (b *Balancer) expiredWarmWeight() float64 {
+// countExpiredWarmWorkers adds the warm workers that the list names as ready and whose lease has expired to
+// the totals of the warm workers. They still serve calls of dispatchers that have a valid lease for them.
+func (b *Balancer) countExpiredWarmWorkers() {
 	if b.leases.expired == 0 {
-		return 0
+		return
 	}
-	weight := 0.0
 	for _, w := range b.workers {
-		if w.State == Ready && !w.inReady && b.warmth(w) >= 1 {
-			weight += w.fullWeight
+		if w.State == Ready && !w.inReady {
+			b.countWarmWorker(w)
 		}
 	}
-	return weight
 }
 
 // nextLeaseChange returns when the first of the workers' leases expires or becomes valid again without
--- a/internal/balancer/ranking.go
+++ b/internal/balancer/ranking.go
@@ -18,6 +18,7 @@
 	callsPerWorker float64 // this dispatcher's counted calls, divided by the number of ready workers
 	rareCalls      float64 // this dispatcher's counted calls of functions that are not hot
 	warmWeight     float64 // of all warm workers that the list names as ready, with or without a valid lease
+	warmAnswers    float64 // recent answers of these workers to this dispatcher
 }
 
 // resetHotSet empties the hot set and computes its totals from the calls of all functions.
@@ -41,15 +42,24 @@
 	b.hotSet.functions = append(b.hotSet.functions, f)
 }
 
+// countWarmWorker adds a worker to the totals of the warm workers, if it is warm.
+func (b *Balancer) countWarmWorker(w *worker) {
+	if b.warmth(w) < 1 {
+		return
+	}
+	b.hotSet.warmWeight += w.fullWeight
+	b.hotSet.warmAnswers += w.answers.add(b.now, 0, callDecay)
+}
+
 // refreshWorkerStats clears the hot calls of the ready workers, decays their failure scores, and sums up
-// the weight of the warm ones.
+// the weight and the answers of the warm ones.
 func (b *Balancer) refreshWorkerStats() {
-	b.hotSet.warmWeight = b.expiredWarmWeight()
+	b.hotSet.warmWeight = 0
+	b.hotSet.warmAnswers = 0
+	b.countExpiredWarmWorkers()
 	for _, w := range b.ready {
 		w.hotCalls = 0
-		if b.warmth(w) >= 1 {
-			b.hotSet.warmWeight += w.fullWeight
-		}
+		b.countWarmWorker(w)
 		for _, class := range w.classes {
 			class.failureScore *= 1 - failureScoreDecay
 		}
--- a/internal/balancer/slowstart_test.go
+++ b/internal/balancer/slowstart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -61,3 +62,38 @@
 	require.Len(t, f.b.ready, 5)
 	assert.LessOrEqual(t, rate(), 1.1*before)
 }
+
+// Guards against the incident of floods, where a cold worker was sent more than its budget: in rolling restarts, the answers of all
+// workers must not be taken for those of the few that are still warm. Here six of eight workers restart or go.
+func TestAnswerRateCountsWarmWorkersOnly(t *testing.T) {
+	f, _ := newLeaseFleet(t, 8)
+	f.b.settings.Dispatchers = 100 // the rate follows from the answers rather than from their mean time
+	for i := range 400 {
+		f.serve("safe", fmt.Sprintf("f%d", i%20))
+		f.advance(f.now + 20*ms)
+		f.sync(f.now)
+	}
+	rate := func(id WorkerID) float64 {
+		r := f.b.requests[f.request("safe", "f1", time.Second)]
+		f.b.updateHotSet()
+		return f.b.answerRate(r, f.b.workers[id])
+	}
+	f.update(ScopeDelta, Worker{ID: "cold", Weight: 1, Started: f.now})
+	before := rate("cold")
+	var ids []WorkerID
+	for id := range f.b.workers {
+		if id != "cold" {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for i, id := range ids[:6] {
+		changed := f.workers[id]
+		changed.State = Removed
+		if i%2 == 0 {
+			changed.State, changed.Started = Ready, f.now
+		}
+		f.update(ScopeDelta, changed)
+	}
+	assert.LessOrEqual(t, rate("cold"), 1.5*before)
+}
--- a/internal/balancer/state.go
+++ b/internal/balancer/state.go
@@ -23,7 +23,6 @@
 // fleetStats holds statistics over all workers.
 type fleetStats struct {
 	meanAnswer  float64            // running mean of the answer time, in seconds
-	answers     decayingCount      // recent answers
 	meanWork    float64            // running mean of a request's estimated work, in seconds
 	failureRate map[string]float64 // fraction of the attempts that fail, by class
 }
--- a/internal/balancer/worker.go
+++ b/internal/balancer/worker.go
@@ -20,6 +20,7 @@
 	slowStart         slowStart
 	window            concurrencyWindow // limits this dispatcher's attempts in flight
 	latency           latencyHistory
+	answers           decayingCount // its recent answers to this dispatcher
 	lastContact       time.Duration // last sign of life: the worker answered an attempt, or loaded copies
 	lastReset         time.Duration // when a connection to the worker last broke
 	ejection          ejection
