The body of a call counts against the limit until no attempt holds it

A body was counted until its client had an answer or cancelled, and held until the attempts had ended: with calls that were sent and cancelled at once, the process held more than the fifth of its memory that bodies may take. The body is now released with the record of the call. Call.Ended reports that moment, and whether a worker may have run the call.

TestBodyOfACancelledCallCountsUntilItsAttemptsEnd: without the change the second call is accepted while the first body is held.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -50,6 +50,11 @@
 	// error, the call is rejected and never sent to a worker.
 	BeforeFirstAttempt func() error
 
+	// Ended, if not nil, is called exactly once for each call that the dispatcher has accepted, after Done: when the call is answered
+	// or cancelled and no attempt of it is pending. mayHaveRun says whether a worker may have run an attempt. It runs on the
+	// dispatcher's event loop and must not block.
+	Ended func(mayHaveRun bool)
+
 	// Done receives the final answer. It is called exactly once for each call that the dispatcher has accepted, unless
 	// the call is cancelled first. It runs on the dispatcher's event loop and must not block.
 	Done func(Answer)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -53,7 +53,7 @@
 	stopped chan struct{} // closed when Run has returned
 
 	inFlight          atomic.Int64 // number of calls accepted and neither answered nor cancelled
-	inFlightBodyBytes atomic.Int64 // total size of the bodies of the calls in flight
+	inFlightBodyBytes atomic.Int64 // total size of the bodies of the calls in flight, or whose attempts have not ended
 	endpointsKnown    atomic.Bool
 
 	// The following fields are used only by the goroutine of Run.
@@ -160,7 +160,8 @@
 	case c.queue <- newQueuedEvent(e):
 		return h, nil
 	default:
-		c.release(submitted)
+		c.releaseCall()
+		c.releaseBody(submitted)
 		return nil, ErrOverloaded
 	}
 }
@@ -171,15 +172,18 @@
 	calls := c.inFlight.Add(1)
 	bodyBytes := c.inFlightBodyBytes.Add(int64(len(submitted.Body)))
 	if calls > int64(c.config.MaxInFlight) || bodyBytes > c.config.MaxBodyBytes {
-		c.release(submitted)
+		c.releaseCall()
+		c.releaseBody(submitted)
 		return false
 	}
 	return true
 }
 
-// release counts a call and its body as no longer in flight.
-func (c *Core) release(submitted *call.Call) {
-	c.inFlight.Add(-1)
+// releaseCall counts a call as no longer in flight.
+func (c *Core) releaseCall() { c.inFlight.Add(-1) }
+
+// releaseBody counts the body of a call as no longer held.
+func (c *Core) releaseBody(submitted *call.Call) {
 	c.inFlightBodyBytes.Add(-int64(len(submitted.Body)))
 }
 
--- a/internal/dispatch/loopback_test.go
+++ b/internal/dispatch/loopback_test.go
@@ -259,3 +259,25 @@
 	assert.Equal(t, call.Served, fakes.Receive(t, answered).Outcome)
 	assert.Zero(t, w.CallCount("x")+w.CallCount("y")+other.CallCount("y")+other.CallCount("z"))
 }
+
+// Guards against bodies that fill the memory although few are counted: the body of a cancelled call counts until no attempt of it is
+// pending, and only then is the end of the call reported.
+func TestBodyOfACancelledCallCountsUntilItsAttemptsEnd(t *testing.T) {
+	w := fakes.NewWorker(t)
+	settings := fakes.Settings()
+	settings.CanCancel = false
+	core := startCore(t, settings, w)
+	ended := make(chan bool, 1)
+	large := newCall(1, string(make([]byte, 1<<20)), func(call.Answer) {})
+	large.Ended = func(mayHaveRun bool) { ended <- mayHaveRun }
+	handle := submit(t, core, large)
+	received := w.NextCall()
+	handle.Cancel()
+	require.Eventually(t, func() bool { return core.InFlight() == 0 }, time.Until(fakes.Deadline()), time.Millisecond)
+	_, err := core.Submit(newCall(2, "small", func(call.Answer) {}))
+	assert.ErrorIs(t, err, dispatch.ErrOverloaded)
+	assert.Empty(t, ended)
+	received.AnswerOK("done")
+	assert.True(t, fakes.Receive(t, ended))
+	submit(t, core, newCall(3, "small", func(call.Answer) {}))
+}
--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -65,7 +65,11 @@
 // accept creates the request of a submitted call and passes it to the balancer.
 func (c *Core) accept(submitted *call.Call, handle *Handle) {
 	if handle.finished.Load() { // cancelled while the call was queued
-		c.release(submitted)
+		c.releaseCall()
+		c.releaseBody(submitted)
+		if submitted.Ended != nil {
+			submitted.Ended(false)
+		}
 		return
 	}
 	c.lastID++
@@ -103,6 +107,7 @@
 	}
 	c.close(r)
 	r.call.Done(answer)
+	c.removeIfDone(r)
 }
 
 // cancelRequest closes the request of a cancelled call without an answer.
@@ -112,6 +117,7 @@
 		return
 	}
 	c.close(r)
+	c.removeIfDone(r)
 	c.notifyBalancer(balancer.ClientGoneEvent{ID: r.id})
 }
 
@@ -143,6 +149,7 @@
 	c.close(r)
 	c.notifyBalancer(balancer.ClientGoneEvent{ID: r.id})
 	r.call.Done(outcome)
+	c.removeIfDone(r)
 }
 
 // onAnswerOverdue answers a request as failed because the balancer has not answered it in time.
@@ -161,13 +168,17 @@
 	r.closed = true
 	r.handle.finished.Store(true)
 	c.timers.remove(r.fallbackTimer)
-	c.release(r.call)
-	c.removeIfDone(r)
+	c.releaseCall()
 }
 
 // removeIfDone deletes a request that is closed and whose attempts have all ended.
 func (c *Core) removeIfDone(r *request) {
-	if r.closed && r.pendingAttempts == 0 {
-		delete(c.requests, r.id)
+	if !r.closed || r.pendingAttempts > 0 || c.requests[r.id] != r {
+		return
+	}
+	delete(c.requests, r.id)
+	c.releaseBody(r.call)
+	if r.call.Ended != nil {
+		r.call.Ended(r.mayHaveRun())
 	}
 }
