The id of a request that may have run is not accepted again

An id was forgotten when its request ended.

The id of a request that never ran is free at once. Only this process knows of them: a restart and other dispatchers do not, as dispatchers share nothing.

TestIDOfARequestInFlightIsNotAcceptedAgain had an id run again after its answer; it now wants the repeat to fail, which is the stricter reading. A drain test used one id for two requests and has two now.

--- a/internal/frontend/resp/conn_test.go
+++ b/internal/frontend/resp/conn_test.go
@@ -96,7 +96,7 @@
 }
 
 // A second request with the id of a request in flight fails: a worker would treat both as one, and its answer could go to
-// either client.
+// either client. It also fails once the first one has run, as clients use a new id for each request.
 func TestIDOfARequestInFlightIsNotAcceptedAgain(t *testing.T) {
 	w := fakes.NewWorker(t)
 	_, connect := startServer(t, w)
@@ -108,8 +108,24 @@
 	received.AnswerOK("done")
 	assert.Equal(t, "1 ok  done", c.receive())
 	other.sendCall(1, "reserva", "later")
-	w.NextCall().AnswerOK("done")
-	assert.Equal(t, "1 ok  done", other.receive())
+	assert.Equal(t, "1 fault  ", other.receive(), "the request has run")
+	assert.Zero(t, w.CallCount("theirs")+w.CallCount("later"))
+}
+
+// Guards against a request that runs twice because its client leaves and another one comes with its id (incident of floods).
+func TestIDOfARequestWhoseClientLeftDoesNotRunAgain(t *testing.T) {
+	w := fakes.NewWorker(t)
+	server, connect := startServer(t, w)
+	c := connect()
+	c.sendCall(1, "reserva", "book")
+	received := w.NextCall()
+	c.Close()
+	assert.Equal(t, received.ID, fakes.Receive(t, w.Cancelled))
+	require.Eventually(t, func() bool { return server.Core.InFlight() == 0 }, 10*time.Second, time.Millisecond)
+	other := connect()
+	other.sendCall(1, "reserva", "again")
+	assert.Equal(t, "1 fault  ", other.receive())
+	assert.Zero(t, w.CallCount("again"))
 }
 
 // The end of a client's stream cancels its calls. A client that closes its connection and one that closes only its sending half
--- a/internal/frontend/resp/conncall.go
+++ b/internal/frontend/resp/conncall.go
@@ -14,18 +14,19 @@
 // refusalDraining is the metrics label of calls that are rejected because the process drains.
 const refusalDraining = "draining"
 
+// refusalSpentIDs is the metrics label of calls that are rejected because too many ids are kept.
+const refusalSpentIDs = "spent_ids"
+
 // maxRequestsPerConn is the maximum number of requests in flight on one connection.
 const maxRequestsPerConn = 32
 
 var (
 	errConnClosed      = errors.New("connection closed before the request was accepted")
-	errDuplicateID     = errors.New("a request with the same id is in flight")
 	errTooManyRequests = fmt.Errorf("the connection already has %d requests in flight", maxRequestsPerConn)
 )
 
 // inFlightRequest is a request in flight: a CALL registered by addRequest that is neither answered nor cancelled yet.
 type inFlightRequest struct {
-	id     uint64
 	handle *dispatch.Handle // nil until the dispatcher has accepted the call
 	// abandoned is set if the request ended while handle was nil. In that case submit cancels the call once it has the handle.
 	abandoned bool
@@ -51,12 +52,18 @@
 	if errors.Is(err, errConnClosed) {
 		return err
 	}
+	if errors.Is(err, errTooManyIDs) {
+		metrics.Refusals.Add(refusalSpentIDs)
+		c.reply(tag, wordRejected)
+		return nil
+	}
 	if err != nil {
 		c.server.logs.requestFailed.Log(slog.LevelWarn, "frontend: request failed",
 			"tag", tag, "addr", c.netConn.RemoteAddr(), "err", err)
 		c.reply(tag, wordFailed)
 		return nil
 	}
+	parsed.Ended = func(mayHaveRun bool) { c.server.requestIDs.release(parsed.ID, mayHaveRun, time.Now()) }
 	parsed.Done = func(result call.Answer) {
 		if result.Outcome != call.Served {
 			c.owedUnits.Add(unitsPerUnservedRun)
@@ -93,10 +100,11 @@
 	if len(c.requests) >= maxRequestsPerConn {
 		return nil, errTooManyRequests
 	}
-	if !c.server.requestIDs.claim(id) { // a worker would treat both requests as one and mix up their answers
-		return nil, errDuplicateID
+	// A worker would treat two requests with one id as one and mix up their answers, or run a request a second time.
+	if err := c.server.requestIDs.claim(id, time.Now()); err != nil {
+		return nil, err
 	}
-	request := &inFlightRequest{id: id}
+	request := &inFlightRequest{}
 	c.requests[tag] = request
 	return request, nil
 }
@@ -105,6 +113,7 @@
 func (c *clientConn) submit(request *inFlightRequest, parsed *call.Call) {
 	handle, err := c.server.Core.SubmitInTurn(parsed)
 	if err != nil {
+		parsed.Ended(false)
 		parsed.Done(call.Answer{Outcome: call.Rejected})
 		return
 	}
@@ -153,8 +162,5 @@
 	return []*dispatch.Handle{request.handle}
 }
 
-// removeRequestLocked removes a request in flight and releases its id. The caller holds c.mu.
-func (c *clientConn) removeRequestLocked(tag uint64) {
-	c.server.requestIDs.release(c.requests[tag].id)
-	delete(c.requests, tag)
-}
+// removeRequestLocked removes a request in flight. The caller holds c.mu.
+func (c *clientConn) removeRequestLocked(tag uint64) { delete(c.requests, tag) }
--- a/internal/frontend/resp/drain_test.go
+++ b/internal/frontend/resp/drain_test.go
@@ -1,6 +1,7 @@
 package resp_test
 
 import (
+	"fmt"
 	"io"
 	"os"
 	"testing"
@@ -66,8 +67,9 @@
 	used.sendCommand("CHECK", "1", "")
 	used.receive()
 	rest := map[*client]string{}
-	for _, c := range []*client{used, fresh} {
-		encoded := encodeCommand("CALL", "7", "reserva", "id=9b1f03aa5c7e2d41,wait=4000,tenant=acme,key=7f3a9c21e0b4d655", "x")
+	for i, c := range []*client{used, fresh} {
+		fields := fmt.Sprintf("id=%016x,wait=4000,tenant=acme,key=7f3a9c21e0b4d655", callID(i))
+		encoded := encodeCommand("CALL", "7", "reserva", fields, "x")
 		c.sendRaw(encoded[:20])
 		rest[c] = encoded[20:]
 	}
--- a/internal/frontend/resp/server.go
+++ b/internal/frontend/resp/server.go
@@ -64,7 +64,7 @@
 	logs        logs
 	descriptors *descriptors.Share
 	sharedUnits *rate.Limiter // work units that all connections share
-	requestIDs  *requestIDs   // the ids of the requests in flight on all connections
+	requestIDs  *requestIDs   // the ids of the requests on all connections
 
 	mu         sync.Mutex
 	conns      map[*trackedConn]bool
@@ -103,7 +103,7 @@
 	defer s.mu.Unlock()
 	s.conns = map[*trackedConn]bool{}
 	s.connClosed = sync.NewCond(&s.mu)
-	s.requestIDs = newRequestIDs()
+	s.requestIDs = newRequestIDs(spentTimeFor(&s.Settings))
 	s.sharedUnits = newSharedLimiter(s.Cores)
 	s.logs = logs{
 		connRejected:  logthrottle.New(),
