No attempt is written for a client that has closed its connection

A client that left was noticed when its reader came to the end of what it had sent. The call now carries a question to the kernel, whether the peer has closed, which is asked where the last check before the first byte of an attempt is.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -50,6 +50,10 @@
 	// error, the call is rejected and never sent to a worker.
 	BeforeFirstAttempt func() error
 
+	// ClientGone, if not nil, reports whether the client has left, although the call is not cancelled yet. It is asked just before
+	// an attempt is written, with locks held and from any goroutine, so it must not block.
+	ClientGone func() bool
+
 	// Ended, if not nil, is called exactly once for each call that the dispatcher has accepted, after Done: when the call is answered
 	// or cancelled and no attempt of it is pending. mayHaveRun says whether a worker may have run an attempt. It runs on the
 	// dispatcher's event loop and must not block.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -112,14 +112,17 @@
 
 // Handle identifies an accepted call. It is used to cancel the call.
 type Handle struct {
-	core      *Core
-	id        balancer.RequestID // used only by the goroutine of Run; 0 until the call has been taken from the queue
-	finished  atomic.Bool        // the call is answered or cancelled: no attempt of it may start any more
-	abandoned atomic.Bool        // set by Abandon: no attempt of the call may start any more
+	core       *Core
+	id         balancer.RequestID // used only by the goroutine of Run; 0 until the call has been taken from the queue
+	finished   atomic.Bool        // the call is answered or cancelled: no attempt of it may start any more
+	clientGone func() bool        // Call.ClientGone
+	abandoned  atomic.Bool        // set by Abandon: no attempt of the call may start any more
 }
 
 // mayNotStart reports whether no attempt of the call may start any more.
-func (h *Handle) mayNotStart() bool { return h.finished.Load() || h.abandoned.Load() }
+func (h *Handle) mayNotStart() bool {
+	return h.finished.Load() || h.abandoned.Load() || h.clientGone != nil && h.clientGone()
+}
 
 // Submit accepts a call, which may start at once. If it returns ErrOverloaded, the call was not accepted and its Done is
 // not called.
@@ -154,7 +157,7 @@
 	if !c.reserve(submitted) {
 		return nil, ErrOverloaded
 	}
-	h := &Handle{core: c}
+	h := &Handle{core: c, clientGone: submitted.ClientGone}
 	e.handle = h
 	select {
 	case c.queue <- newQueuedEvent(e):
--- a/internal/dispatch/loopback_test.go
+++ b/internal/dispatch/loopback_test.go
@@ -281,3 +281,17 @@
 	assert.True(t, fakes.Receive(t, ended))
 	submit(t, core, newCall(3, "small", func(call.Answer) {}))
 }
+
+// Guards against attempts for clients that have left unnoticed, behind requests that are unread: nothing is sent once the frontend
+// can tell (incident of floods).
+func TestNothingIsSentForAClientThatIsGone(t *testing.T) {
+	w := fakes.NewWorker(t)
+	core := startCore(t, fakes.Settings(), w)
+	answered := make(chan call.Answer, 1)
+	submitted := newCall(1, "gone", func(a call.Answer) { answered <- a })
+	submitted.ClientGone = func() bool { return true }
+	submitted.Deadline = time.Now().Add(500 * time.Millisecond)
+	submit(t, core, submitted)
+	assert.False(t, fakes.Receive(t, answered).MayHaveRun)
+	assert.Zero(t, w.CallCount("gone"))
+}
--- a/internal/frontend/resp/conncall.go
+++ b/internal/frontend/resp/conncall.go
@@ -63,6 +63,7 @@
 		c.reply(tag, wordFailed)
 		return nil
 	}
+	parsed.ClientGone = c.netConn.PeerHasClosed
 	parsed.Ended = func(mayHaveRun bool) { c.server.requestIDs.release(parsed.ID, mayHaveRun, time.Now()) }
 	parsed.Done = func(result call.Answer) {
 		if result.Outcome != call.Served {
