The number of known functions is bounded

A function that was called once was known for 46 s, with its placements and its order of workers. Calls of ever new functions, 2,500 a second and more in the evidence, made the process grow without end, and each ranking, four times a second, went over all of them (timer events of 38 ms in the evidence). Beyond 4,096 the functions called least are now forgotten, unless they are in use.

--- a/internal/balancer/ranking.go
+++ b/internal/balancer/ranking.go
@@ -8,6 +8,7 @@
 
 const (
 	minFunctionCalls  = 0.01          // functions with a lower count of calls are forgotten
+	maxFunctions      = 4096          // beyond that the functions called least are forgotten
 	failureScoreDecay = smoothing / 4 // fraction of a failure score that each update of the hot set removes
 )
 
@@ -67,7 +68,7 @@
 }
 
 // rankFunctions returns the functions in use, most called first. It forgets the other ones, except a few
-// that keepalives may need.
+// that keepalives may need, and those called least if there are more than maxFunctions.
 func (b *Balancer) rankFunctions() []*function {
 	var ranked, unused []*function
 	for _, f := range b.functions {
@@ -86,5 +87,32 @@
 	slices.SortFunc(ranked, func(v, w *function) int {
 		return cmp.Or(cmp.Compare(w.calls.value, v.calls.value), cmp.Compare(v.id, w.id))
 	})
-	return ranked
+	return b.forgetLeastCalled(ranked)
+}
+
+// forgetLeastCalled forgets the functions beyond maxFunctions in a ranking, except those in use. Clients may
+// call ever new functions. It returns the remaining ranking.
+func (b *Balancer) forgetLeastCalled(ranked []*function) []*function {
+	if len(ranked) <= maxFunctions {
+		return ranked
+	}
+	kept := ranked[:maxFunctions]
+	for _, f := range ranked[maxFunctions:] {
+		if f.references > 0 || b.hasPending(f) {
+			kept = append(kept, f)
+			continue
+		}
+		delete(b.functions, f.id)
+	}
+	return kept
+}
+
+// hasPending reports whether an attempt or a load order of a function is pending.
+func (b *Balancer) hasPending(f *function) bool {
+	for _, p := range f.placements {
+		if p.inFlight > 0 || p.orderPending {
+			return true
+		}
+	}
+	return false
 }
