The soak draws floods, slow writers, clients that leave and ids that come again

In a trial ahead of it the calls of the leavers were missing in the record of requests, which made the load budget look broken; they are recorded now.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -32,6 +32,7 @@
 	dispatchers          []*dispatcherHandle
 	workers              []*workerHandle
 	clients              []*client
+	floodRequests        []*Request     // guarded by mu
 	faults               map[string]int // injected faults, by kind
 	freezes              []Freeze
 	evacuations          []Evacuation
@@ -217,6 +218,7 @@
 	for _, c := range f.clients {
 		h.Requests = append(h.Requests, c.awaitRequests()...)
 	}
+	h.Requests = append(h.Requests, f.floodRequests...)
 	for _, d := range f.dispatchers {
 		h.Dispatchers = append(h.Dispatchers, d.runs...)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -32,6 +32,7 @@
 	FaultBurst         FaultKind = "burst"         // clients send burstFactor times as much
 	FaultEvacuate      FaultKind = "evacuate"      // operators make a dispatcher drain its connections, then take clients again
 	FaultSeries        FaultKind = "series"        // signals and operators' calls in quick succession, with SIGTERM as the last
+	FaultFlood         FaultKind = "flood"         // clients that send too much, see FloodKind
 	FaultCrowd         FaultKind = "crowd"         // connections that never complete a request
 )
 
@@ -44,11 +45,12 @@
 	Length         time.Duration   // how long the fault lasts
 	Series         []Step          // steps of a FaultSeries
 	Outage         OutageKind      // kind of a FaultOutage
+	Flood          FloodKind       // kind of a FaultFlood
 	WallClockSteps []wallstep.Step // steps of the wall clock of a restarted dispatcher
 }
 
 func (f Fault) String() string {
-	return fmt.Sprintf("%.1f %s %d %s", f.At.Seconds(), f.Kind, f.Target, f.Length)
+	return fmt.Sprintf("%.1f %s%s %d %s", f.At.Seconds(), f.Kind, f.Flood, f.Target, f.Length)
 }
 
 // Plan holds the fleet, the load and the faults of a run.
--- a/internal/soak/player.go
+++ b/internal/soak/player.go
@@ -127,6 +127,8 @@
 		p.keepFirstError(f.BreakDiscovery(fault.Outage, p.outageTargets(fault), fault.Length))
 	case FaultCrowd:
 		f.HoldIncompleteRequests(fault.Target, fault.Length)
+	case FaultFlood:
+		f.FloodDispatcher(fault.Target, fault.Flood, fault.Length)
 	case FaultNewFunctions:
 		load := p.plan.Load
 		load.FirstFunction = int(fault.At / time.Millisecond)
