Paused connections are read again where the configuration sets no number of cores

Found by reading the change once more: the rate of work units is in proportion to the cores, so without limits.cores it was zero, and a connection with more than 128 units of its own was never read again. A number that is not set counts as one core, as it does for GOMAXPROCS.

--- a/internal/frontend/resp/pacing.go
+++ b/internal/frontend/resp/pacing.go
@@ -40,6 +40,7 @@
 	pausedForAnswers = "answers" // the client does not take its answers
 )
 
+// The times of pauses.
 const (
 	// minPause is the shortest pause. Shorter ones add up until they are worth the wake-up.
 	minPause = 2 * time.Millisecond
@@ -50,8 +51,11 @@
 // errClientLeft is returned once the client has closed its connection, also if requests that it sent before are unread.
 var errClientLeft = errors.New("the client has closed the connection")
 
-// newSharedLimiter returns the limiter of the work units that all connections share.
+// newSharedLimiter returns the limiter of the work units that all connections share. A number of cores that is not set counts as one.
 func newSharedLimiter(cores float64) *rate.Limiter {
+	if cores <= 0 {
+		cores = 1
+	}
 	return rate.NewLimiter(rate.Limit(sharedUnitRate*cores), sharedUnitBurst)
 }
 
