--- a/cmd/dispatcher/flood_test.go
+++ b/cmd/dispatcher/flood_test.go
@@ -31,6 +31,7 @@
 	calmInterval      = 40 * time.Millisecond // between two calls of a calm client
 	calmServedShare   = 0.9                   // of the calls during a flood that ends in the frontend
 	slowClients       = 330
+	floodLogBytes     = 6000 // of the dispatcher's log that a failed test shows
 )
 
 // floodTarget is a dispatcher process with one worker that answers at once.
@@ -67,6 +68,9 @@
 	t.Cleanup(func() {
 		target.process.Process.Kill()
 		target.process.Wait()
+		if text, err := os.ReadFile(target.logPath); err == nil && t.Failed() {
+			t.Logf("the end of the dispatcher's log: %s", text[max(0, len(text)-floodLogBytes):])
+		}
 	})
 	conn := dial(t, target.addr)
 	defer conn.Close()
