--- a/internal/frontend/resp/requestids.go
+++ b/internal/frontend/resp/requestids.go
@@ -43,7 +43,7 @@
 	return &requestIDs{spentTime: spentTime, used: map[uint64]struct{}{}}
 }
 
-// spentTimeFor returns for how long ids are spent: a client repeats a request within the deadline of its class, and workers drop
+// spentTimeFor returns the time after which a spent id is accepted again: a client repeats a request within the deadline of its class, and workers drop
 // repeats for as long as the class says.
 func spentTimeFor(settings *balancer.Settings) time.Duration {
 	longest := minSpentTime
