Flood tests: the flooding clients run in a process of their own

Cause, traced: the flooding clients ran under the race detector in the process of the worker, of discovery and of the calm clients, and starved these. In the failed run the slowest calm call took 1.5 s though its own time limit was 0.9 s, a poll of discovery in the same process was not answered for its whole time, and the dispatcher logged no late event. A calm client then used its tag again on the same connection while its call was still open, which closes the connection, so that one late answer counted as many.

The flooding clients are the test binary started again, with two processors. A calm client comes again on a new connection after a call without an answer. Floods, lengths, memory limit and the shares that are asked are unchanged.

--- a/cmd/dispatcher/flood_test.go
+++ b/cmd/dispatcher/flood_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -29,7 +28,8 @@
 	floodStallTimeout = 2 * time.Second // a flooding client leaves after a write that takes so long, and comes again
 	calmClients       = 4
 	calmInterval      = 40 * time.Millisecond // between two calls of a calm client
-	calmServedShare   = 0.9                   // of the calls during a flood that ends in the frontend
+	calmWait          = 900 * time.Millisecond
+	calmServedShare   = 0.9 // of the calls during a flood that ends in the frontend
 	slowClients       = 330
 	floodLogBytes     = 6000 // of the dispatcher's log that a failed test shows
 )
@@ -123,11 +123,12 @@
 	for range calmClients {
 		conn, err := net.Dial("tcp", f.addr)
 		require.NoError(t, err)
+		client := &calmClient{target: f.addr, conn: conn}
 		clients.Go(func() {
-			defer conn.Close()
+			defer func() { client.conn.Close() }()
 			for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(calmInterval) {
 				begin := time.Now()
-				record.add(callOnce(conn), time.Since(begin))
+				record.add(client.call(), time.Since(begin))
 			}
 		})
 	}
@@ -135,145 +136,43 @@
 	return record
 }
 
-// callOnce sends a call that waits for 900 ms and reports whether it was served in time.
-func callOnce(conn net.Conn) bool {
-	const wait = 900 * time.Millisecond
-	conn.SetDeadline(time.Now().Add(wait))
-	if _, err := conn.Write(floodCall(1, "consulta", nextFloodID(), "7f3a9c21e0b4d655", "", "x")); err != nil {
-		return false
-	}
-	answer := make([]byte, 256)
-	length, err := conn.Read(answer)
-	return err == nil && strings.Contains(string(answer[:length]), "\r\nok\r\n")
-}
-
-var (
-	floodIDs  uint64
-	floodIDMu sync.Mutex
-)
-
-// nextFloodID returns an id that was not used before.
-func nextFloodID() uint64 {
-	floodIDMu.Lock()
-	defer floodIDMu.Unlock()
-	floodIDs++
-	return floodIDs
+// calmClient calls one at a time. After a call without an answer it goes on with a new connection.
+type calmClient struct {
+	target string
+	conn   net.Conn
 }
 
-// floodCall encodes a CALL. extra is appended to its fields.
-func floodCall(tag int, class string, id uint64, function, extra, body string) []byte {
-	fields := fmt.Sprintf("id=%016x,wait=900,key=%s%s", id, function, extra)
-	return encodeWords("CALL", strconv.Itoa(tag), class, fields, body)
-}
-
-func encodeWords(words ...string) []byte {
-	encoded := fmt.Appendf(nil, "*%d\r\n", len(words))
-	for _, word := range words {
-		encoded = fmt.Appendf(encoded, "$%d\r\n%s\r\n", len(word), word)
-	}
-	return encoded
-}
-
-// floodUntil writes blocks to a connection as fast as they are taken, and begins again on a new connection after an error or a write
-// that stalls, until end. It reads the answers if readAnswers is set.
-func (f *floodTarget) floodUntil(end time.Time, readAnswers bool, block func() []byte) {
-	for time.Now().Before(end) {
-		conn, err := net.DialTimeout("tcp", f.addr, floodStallTimeout)
-		if err != nil {
-			continue
+// call sends a call that waits for calmWait and reports whether it was served in time.
+func (c *calmClient) call() bool {
+	answer, err := c.exchange(floodCall(1, "consulta", nextFloodID(), "7f3a9c21e0b4d655", "", "x"))
+	if err != nil {
+		c.conn.Close()
+		if conn, err := net.DialTimeout("tcp", c.target, calmWait); err == nil {
+			c.conn = conn
 		}
-		if readAnswers {
-			go io.Copy(io.Discard, conn)
-		}
-		for err == nil && time.Now().Before(end) {
-			conn.SetWriteDeadline(time.Now().Add(floodStallTimeout))
-			_, err = conn.Write(block())
-		}
-		conn.Close()
-	}
-}
-
-// flood is one way to flood a dispatcher.
-type flood struct {
-	connections int
-	readAnswers bool
-	pause       time.Duration // between two blocks
-	block       func() []byte
-}
-
-// repeatRequests returns the encoding of many requests in a row, with tags that begin anew in each block.
-func repeatRequests(encode func(tag int) []byte) []byte {
-	var block []byte
-	for tag := 10; tag < 210; tag++ {
-		block = append(block, encode(tag)...)
-	}
-	return block
-}
-
-// floods returns the floods whose requests end in the frontend, by name.
-func floods() map[string]flood {
-	const function = "7f3a9c21e0b4d655"
-	manyFields := ""
-	for i := range 3200 {
-		manyFields += fmt.Sprintf(",%x=1", i)
-	}
-	manyShortFields := floodCall(1, "consulta", nextFloodID(), function, manyFields, "x")
-	unknownClass := func() []byte {
-		return repeatRequests(func(tag int) []byte {
-			id := nextFloodID()
-			return floodCall(tag, fmt.Sprintf("none-%x", id), id, function, "", "x")
-		})
-	}
-	largest := append([]byte("*8\r\n"), strings.Repeat("$20480\r\n"+strings.Repeat("y", 20480)+"\r\n", 7)...)
-	largest = append(largest, "$20480\r\n"+strings.Repeat("y", 20000)...)
-	return map[string]flood{
-		"unknown names":      {connections: 1, readAnswers: true, block: unknownClass},
-		"many unknown names": {connections: 16, readAnswers: true, block: unknownClass},
-		"invalid ids": {connections: 1, readAnswers: true, block: func() []byte {
-			return repeatRequests(func(tag int) []byte { return encodeWords("CALL", strconv.Itoa(tag), "consulta", "id=1") })
-		}},
-		"checks with answers unread": {connections: 1, block: func() []byte {
-			return repeatRequests(func(tag int) []byte { return encodeWords("CHECK", strconv.Itoa(tag), "") })
-		}},
-		"new functions over the limit of open requests": {connections: 6, readAnswers: true, block: func() []byte {
-			return repeatRequests(func(tag int) []byte {
-				id := nextFloodID()
-				return floodCall(tag, "consulta", id, fmt.Sprintf("%016x", id), "", "x")
-			})
-		}},
-		"calls cancelled at once": {connections: 1, readAnswers: true, block: func() []byte {
-			return repeatRequests(func(tag int) []byte {
-				request := floodCall(tag, "consulta", nextFloodID(), function, "", "x")
-				return append(request, encodeWords("CANCEL", strconv.Itoa(tag))...)
-			})
-		}},
-		"many short fields":            {connections: slowClients, pause: 100 * time.Millisecond, block: func() []byte { return manyShortFields }},
-		"large requests not completed": {connections: slowClients, pause: floodLength, block: func() []byte { return largest }},
+		return false
 	}
+	return strings.Contains(answer, "\r\nok\r\n")
 }
 
-// start floods the target for floodLength. The returned function waits for the end.
-func (f *floodTarget) start(kind flood) (wait func()) {
-	var clients sync.WaitGroup
-	end := time.Now().Add(floodLength)
-	for range kind.connections {
-		clients.Go(func() {
-			f.floodUntil(end, kind.readAnswers, func() []byte {
-				time.Sleep(min(kind.pause, time.Until(end)))
-				return kind.block()
-			})
-		})
+// exchange writes a request and reads an answer, within calmWait.
+func (c *calmClient) exchange(request []byte) (string, error) {
+	c.conn.SetDeadline(time.Now().Add(calmWait))
+	if _, err := c.conn.Write(request); err != nil {
+		return "", err
 	}
-	return clients.Wait
+	answer := make([]byte, 256)
+	length, err := c.conn.Read(answer)
+	return string(answer[:length]), err
 }
 
 // Guards against floods that take the service or the memory from the other clients: while one client sends small or unsound
 // requests at full speed, or hundreds write slowly or large heads, the others are served, and the process keeps to its memory limit.
 func TestFloodsLeaveOtherClientsServed(t *testing.T) {
-	for name, kind := range floods() {
+	for name := range floods() {
 		t.Run(name, func(t *testing.T) {
 			target := startFloodTarget(t)
-			wait := target.start(kind)
+			wait := startFlood(t, name, target.addr)
 			during := target.callCalmly(t, floodLength)
 			wait()
 			time.Sleep(floodSettleTime)
