Flood tests: the clients write faster than a dispatcher reads, with new tags

Tags began anew in each block, so that a connection with open calls was closed for its tags and not over its limit.

A block is encoded once, and its tags and ids are replaced in place.

--- a/cmd/dispatcher/flood_test.go
+++ b/cmd/dispatcher/flood_test.go
@@ -144,7 +144,7 @@
 
 // call sends a call that waits for calmWait and reports whether it was served in time.
 func (c *calmClient) call() bool {
-	answer, err := c.exchange(floodCall(1, "consulta", nextFloodID(), "7f3a9c21e0b4d655", "", "x"))
+	answer, err := c.exchange(floodCall("1", "consulta", fmt.Sprintf("%016x", nextFloodID()), "7f3a9c21e0b4d655", ""))
 	if err != nil {
 		c.conn.Close()
 		if conn, err := net.DialTimeout("tcp", c.target, calmWait); err == nil {
--- a/cmd/dispatcher/floodclient_test.go
+++ b/cmd/dispatcher/floodclient_test.go
@@ -1,11 +1,16 @@
 package main
 
 import (
+	"bytes"
+	"encoding/binary"
+	"encoding/hex"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"os"
 	"os/exec"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -23,6 +28,7 @@
 	floodAddrEnv = "KITEFALL_FLOOD_ADDRESS" // of the dispatcher
 	// floodProcessors is how many processors the flooding clients use at a time. They send far more than a dispatcher reads.
 	floodProcessors = 2
+	firstFloodTag   = 1_000_000_000 // tags have as many digits as newTag
 )
 
 func TestMain(m *testing.M) {
@@ -52,24 +58,81 @@
 	connections int
 	readAnswers bool
 	pause       time.Duration // between two blocks
-	block       func() []byte
+	requests    int           // number of requests that are written at once, as a block
+	request     []byte        // the encoding of a request, which may have newTag and newID in it
+}
+
+// The parts of a request that are replaced whenever it is written. No process of the test has used the new ones before.
+const (
+	newTag = "1000000000"
+	newID  = "0123456789abcdef"
+)
+
+// newBlock returns the encoding of the requests of a block.
+func (f flood) newBlock() *floodBlock {
+	return &floodBlock{
+		data:        bytes.Repeat(f.request, f.requests),
+		requestSize: len(f.request),
+		tags:        indexAll(f.request, newTag),
+		ids:         indexAll(f.request, newID),
+	}
+}
+
+// floodBlock is the encoding of the requests of a block.
+type floodBlock struct {
+	data        []byte
+	requestSize int
+	tags, ids   []int // where they begin in each request
+}
+
+// indexAll returns where the text occurs in data.
+func indexAll(data []byte, text string) []int {
+	var starts []int
+	for from := 0; ; {
+		at := bytes.Index(data[from:], []byte(text))
+		if at < 0 {
+			return starts
+		}
+		starts = append(starts, from+at)
+		from += at + len(text)
+	}
+}
+
+// renew replaces the tags and ids. It is cheap, so that the clients write faster than a dispatcher reads.
+func (b *floodBlock) renew() {
+	var tag, id []byte
+	for request := range slices.Chunk(b.data, b.requestSize) {
+		number := nextFloodID()
+		tag = strconv.AppendUint(tag[:0], firstFloodTag+number&math.MaxUint32, 10)
+		id = hex.AppendEncode(id[:0], binary.BigEndian.AppendUint64(nil, number))
+		for _, start := range b.tags {
+			copy(request[start:], tag)
+		}
+		for _, start := range b.ids {
+			copy(request[start:], id)
+		}
+	}
 }
 
 // run floods a dispatcher for floodLength and prints how much it has sent.
 func (f flood) run(address string) {
 	var clients sync.WaitGroup
 	var sent atomic.Int64
+	blocks := make([]*floodBlock, f.connections)
+	for i := range blocks {
+		blocks[i] = f.newBlock()
+	}
 	end := time.Now().Add(floodLength)
-	for range f.connections {
-		clients.Go(func() { f.writeUntil(end, address, &sent) })
+	for _, block := range blocks {
+		clients.Go(func() { f.writeUntil(end, address, block, &sent) })
 	}
 	clients.Wait()
 	fmt.Printf("%d bytes on %d connections at a time\n", sent.Load(), f.connections)
 }
 
-// writeUntil writes blocks to a connection as fast as they are taken, and begins again on a new connection after an error or a write
-// that stalls, until end. It adds the number of bytes to sent.
-func (f flood) writeUntil(end time.Time, address string, sent *atomic.Int64) {
+// writeUntil writes a block to a connection as fast as it is taken, over and over with new digits, and begins again on a new connection
+// after an error or a write that stalls, until end. It adds the number of bytes to sent.
+func (f flood) writeUntil(end time.Time, address string, block *floodBlock, sent *atomic.Int64) {
 	for time.Now().Before(end) {
 		conn, err := net.DialTimeout("tcp", address, floodStallTimeout)
 		if err != nil {
@@ -80,9 +143,10 @@
 		}
 		for err == nil && time.Now().Before(end) {
 			time.Sleep(min(f.pause, time.Until(end)))
+			block.renew()
 			conn.SetWriteDeadline(time.Now().Add(floodStallTimeout))
 			var written int
-			written, err = conn.Write(f.block())
+			written, err = conn.Write(block.data)
 			sent.Add(int64(written))
 		}
 		conn.Close()
@@ -91,53 +155,35 @@
 
 // floods returns the floods by name.
 func floods() map[string]flood {
-	const function = "7f3a9c21e0b4d655"
+	const (
+		function      = "7f3a9c21e0b4d655"
+		blockRequests = 200
+		words         = 8 // of the largest request that a client may begin
+		wordBytes     = 20480
+		unsentBytes   = 480
+	)
+	unknownClass := floodCall(newTag, "none-"+newID, newID, function, "")
+	newFunction := floodCall(newTag, "consulta", newID, newID, "")
+	call := floodCall(newTag, "consulta", newID, function, "")
+	cancelledCall := append(call, encodeWords("CANCEL", newTag)...)
 	manyFields := ""
 	for i := range 3200 {
 		manyFields += fmt.Sprintf(",%x=1", i)
 	}
-	manyShortFields := floodCall(1, "consulta", nextFloodID(), function, manyFields, "x")
-	unknownClass := func() []byte {
-		return repeatRequests(func(tag int) []byte {
-			id := nextFloodID()
-			return floodCall(tag, fmt.Sprintf("none-%x", id), id, function, "", "x")
-		})
-	}
-	largest := append([]byte("*8\r\n"), strings.Repeat("$20480\r\n"+strings.Repeat("y", 20480)+"\r\n", 7)...)
-	largest = append(largest, "$20480\r\n"+strings.Repeat("y", 20000)...)
+	callOfManyFields := floodCall(newTag, "consulta", newID, function, manyFields)
+	largest := encodeWords(slices.Repeat([]string{strings.Repeat("y", wordBytes)}, words)...)
+	incomplete := largest[:len(largest)-unsentBytes]
 	return map[string]flood{
-		"unknown names":      {connections: 1, readAnswers: true, block: unknownClass},
-		"many unknown names": {connections: 16, readAnswers: true, block: unknownClass},
-		"invalid ids": {connections: 1, readAnswers: true, block: func() []byte {
-			return repeatRequests(func(tag int) []byte { return encodeWords("CALL", strconv.Itoa(tag), "consulta", "id=1") })
-		}},
-		"checks with answers unread": {connections: 1, block: func() []byte {
-			return repeatRequests(func(tag int) []byte { return encodeWords("CHECK", strconv.Itoa(tag), "") })
-		}},
-		"new functions over the limit of open requests": {connections: 6, readAnswers: true, block: func() []byte {
-			return repeatRequests(func(tag int) []byte {
-				id := nextFloodID()
-				return floodCall(tag, "consulta", id, fmt.Sprintf("%016x", id), "", "x")
-			})
-		}},
-		"calls cancelled at once": {connections: 1, readAnswers: true, block: func() []byte {
-			return repeatRequests(func(tag int) []byte {
-				request := floodCall(tag, "consulta", nextFloodID(), function, "", "x")
-				return append(request, encodeWords("CANCEL", strconv.Itoa(tag))...)
-			})
-		}},
-		"many short fields":            {connections: slowClients, pause: 100 * time.Millisecond, block: func() []byte { return manyShortFields }},
-		"large requests not completed": {connections: slowClients, pause: floodLength, block: func() []byte { return largest }},
-	}
-}
-
-// repeatRequests returns the encoding of many requests in a row, with tags that begin anew in each block.
-func repeatRequests(encode func(tag int) []byte) []byte {
-	var block []byte
-	for tag := 10; tag < 210; tag++ {
-		block = append(block, encode(tag)...)
+		"unknown names":      {connections: 1, readAnswers: true, requests: blockRequests, request: unknownClass},
+		"many unknown names": {connections: 16, readAnswers: true, requests: blockRequests, request: unknownClass},
+		"invalid ids": {connections: 1, readAnswers: true, requests: blockRequests,
+			request: encodeWords("CALL", newTag, "consulta", "id=1")},
+		"checks with answers unread":                    {connections: 1, requests: blockRequests, request: encodeWords("CHECK", newTag, "")},
+		"new functions over the limit of open requests": {connections: 6, readAnswers: true, requests: blockRequests, request: newFunction},
+		"calls cancelled at once":                       {connections: 1, readAnswers: true, requests: blockRequests, request: cancelledCall},
+		"many short fields":                             {connections: slowClients, pause: 100 * time.Millisecond, requests: 1, request: callOfManyFields},
+		"large requests not completed":                  {connections: slowClients, pause: floodLength, requests: 1, request: incomplete},
 	}
-	return block
 }
 
 var (
@@ -149,9 +195,8 @@
 func nextFloodID() uint64 { return floodIDPrefix + lastFloodID.Add(1) }
 
 // floodCall encodes a CALL. extra is appended to its fields.
-func floodCall(tag int, class string, id uint64, function, extra, body string) []byte {
-	fields := fmt.Sprintf("id=%016x,wait=900,key=%s%s", id, function, extra)
-	return encodeWords("CALL", strconv.Itoa(tag), class, fields, body)
+func floodCall(tag, class, id, function, extra string) []byte {
+	return encodeWords("CALL", tag, class, fmt.Sprintf("id=%s,wait=900,key=%s%s", id, function, extra), "x")
 }
 
 func encodeWords(words ...string) []byte {
