An overdue attempt is cancelled only if another worker may get its request

Cause: without second copies, an attempt at an ejected worker is cancelled so that a retry can follow. With one worker, or with all others excluded, none can: the cancel only gives up an answer that is on its way. A worker that answers in 1 ms is silent for too long after some milliseconds, which a busy machine takes from it.

Change: the attempt goes on if no other worker may get the request. With another healthy worker nothing is decided differently.

The new test fails without the change: the attempt was cancelled.

--- a/internal/balancer/attempts.go
+++ b/internal/balancer/attempts.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"slices"
 	"time"
 
 	"kitefall/internal/permit"
@@ -82,7 +83,7 @@
 }
 
 // hedge sends another attempt for a request whose attempt is overdue at an ejected worker. Without
-// hedging it cancels that attempt, if it may, so that a retry can follow.
+// hedging it cancels that attempt, if it may and another worker is left, so that a retry can follow.
 func (b *Balancer) hedge(r *request) {
 	a := r.attempts[len(r.attempts)-1]
 	if !b.mayHedge(r, a) {
@@ -97,12 +98,17 @@
 		return
 	}
 	repeatable := r.class.Idempotency == Idempotent || b.now-a.sentAt < r.class.DedupWindow
-	if b.settings.CanCancel && repeatable {
+	if b.settings.CanCancel && repeatable && b.otherWorkerHealthy(r) {
 		r.cancelledForRetry = true
 		b.emit(Cancel{ID: r.ID, Attempt: a.index})
 	}
 }
 
+// otherWorkerHealthy reports whether any worker that a request does not exclude may get it.
+func (b *Balancer) otherWorkerHealthy(r *request) bool {
+	return slices.ContainsFunc(b.ready, func(w *worker) bool { return b.healthy(r, w) })
+}
+
 // mayHedge reports whether a request may be hedged, given its last attempt: the attempt is the only one
 // pending and overdue at an ejected worker, and the request, its attempts and the retry budget allow
 // another one.
--- a/internal/balancer/hedging_test.go
+++ b/internal/balancer/hedging_test.go
@@ -60,3 +60,20 @@
 		t.Error("a long request was hedged or cancelled though its worker answers other requests")
 	}
 }
+
+// Guards against calls that are given up at a worker that is late, as no other worker may get them (incident of floods).
+func TestOverdueAttemptAtTheOnlyWorkerIsNotCancelled(t *testing.T) {
+	s := testSettings()
+	s.Hedging = false
+	f := newFleet(t, s, 1)
+	f.listWorkers(1)
+	for range 40 {
+		f.serve("safe", "fn")
+	}
+	id := f.request("safe", "fn", 2*time.Second)
+	f.advance(f.now + 700*ms)
+	if f.cancelled > 0 {
+		t.Error("the attempt was cancelled though no other worker may get the request")
+	}
+	f.endAttempt(id, 0, OK)
+}
